--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds everything in release mode below build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+cmake --build build | tail -1
--- /dev/null
+++ b/src/hawthornwheelctl/command.cc
@@ -0,0 +1,300 @@
+#include "command.h"
+
+#include <fmt/format.h>
+#include <glib.h>
+#include <google/protobuf/struct.pb.h>
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <random>
+
+#include "absl/strings/ascii.h"
+#include "base/error_kind.h"
+#include "http/http_client.h"
+#include "operators/config_reader.h"
+#include "operators/publisher.h"
+#include "operators/service_folder.h"
+#include "platform/http_platform_client.h"
+#include "wire/caller.pb.h"
+#include "wire/json.h"
+
+namespace hawthornwheel::ctl {
+namespace {
+
+using google::protobuf::Struct;
+
+constexpr base::Duration kPlatformTimeout = std::chrono::seconds(3);
+constexpr base::Duration kAdminTimeout = std::chrono::seconds(3);
+constexpr base::Duration kCallGrace = std::chrono::seconds(5);
+constexpr int kHttpOk = 200;
+
+class MainContextRunner final : public operators::LoopRunner {
+ public:
+  void RunUntil(const bool* done) override {
+    while (!*done) g_main_context_iteration(nullptr, TRUE);
+  }
+};
+
+ExitCode Usage(const std::string& reason) {
+  fmt::print(stderr, "hawthornwheelctl: {}\n", reason);
+  return ExitCode::kUsage;
+}
+
+ExitCode Report(const base::Error& error) {
+  fmt::print(stderr, "hawthornwheelctl: {}: {}\n",
+             base::DescribeError(error.Kind()).name, error.detail);
+  switch (error.Kind()) {
+    case base::ErrorKind::kConfigConflict:
+      return ExitCode::kConflict;
+    case base::ErrorKind::kLogUnavailable:
+    case base::ErrorKind::kInternal:
+      return ExitCode::kUnreachable;
+    default:
+      return ExitCode::kFailed;
+  }
+}
+
+void PrintFaults(const std::vector<base::IniFault>& faults) {
+  for (const base::IniFault& fault : faults) {
+    fmt::print("{}\n", base::FormatFault(fault));
+  }
+}
+
+ExitCode Check(const std::string& folder, const CommandOptions& options) {
+  const operators::ServiceFolder content = operators::ReadServiceFolder(folder);
+  if (options.json) {
+    Struct root;
+    auto* faults = (*root.mutable_fields())["faults"].mutable_list_value();
+    for (const base::IniFault& fault : content.faults) {
+      faults->add_values()->set_string_value(base::FormatFault(fault));
+    }
+    (*root.mutable_fields())["services"].set_number_value(
+        static_cast<double>(content.services.size()));
+    fmt::print("{}\n", wire::ToJson(root));
+  } else {
+    PrintFaults(content.faults);
+    fmt::print("{} services, {} faults\n", content.services.size(),
+               content.faults.size());
+  }
+  return content.faults.empty() ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+std::string NewRecordId(const std::string& operator_name) {
+  std::random_device device;
+  return fmt::format("{}-{:08x}{:08x}", operator_name, device(), device());
+}
+
+ExitCode Publish(const std::string& folder, const CommandOptions& options) {
+  if (options.platform_address.empty()) return Usage("--platform is missing");
+  const operators::ServiceFolder content = operators::ReadServiceFolder(folder);
+  if (!content.faults.empty()) {
+    PrintFaults(content.faults);
+    return ExitCode::kFailed;
+  }
+  platform::HttpPlatformClient platform(options.platform_address,
+                                        kPlatformTimeout);
+  MainContextRunner runner;
+  operators::ConfigReader reader(platform, runner);
+  operators::Publisher publisher(platform, runner, reader);
+  const auto report = publisher.Publish(
+      content.services, options.remove_missing, options.operator_name,
+      NewRecordId(options.operator_name));
+  if (!report) return Report(report.GetError());
+  for (const operators::ServiceDifference& difference : report->differences) {
+    fmt::print("{} {}\n", difference.kind, difference.service);
+    for (const std::string& line : difference.lines) {
+      fmt::print("  {}\n", line);
+    }
+  }
+  if (report->differences.empty()) {
+    fmt::print("nothing changed\n");
+  } else {
+    fmt::print("accepted at offset {}\n", report->offset);
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode ShowConfig(const std::string& what, const CommandOptions& options) {
+  if (options.platform_address.empty()) return Usage("--platform is missing");
+  platform::HttpPlatformClient platform(options.platform_address,
+                                        kPlatformTimeout);
+  MainContextRunner runner;
+  operators::ConfigReader reader(platform, runner);
+  const auto caught_up = reader.CatchUp();
+  if (!caught_up) return Report(caught_up.GetError());
+  if (what == "show") {
+    for (const auto& [name, state] : reader.Fold().Services()) {
+      fmt::print("# service {} generation {} by {}{}\n{}\n", name,
+                 state.generation, state.operator_name,
+                 state.removed ? " (removed)" : "", state.content);
+    }
+    return ExitCode::kOk;
+  }
+  for (const fleet::ChangeOutcome& outcome : reader.Fold().History()) {
+    fmt::print("{} {} by {} services {}{}\n", outcome.offset,
+               fleet::ChangeVerdictName(outcome.verdict), outcome.operator_name,
+               fmt::join(outcome.services, ","),
+               outcome.detail.empty() ? "" : ": " + outcome.detail);
+  }
+  return ExitCode::kOk;
+}
+
+base::Result<Struct> FetchJson(const std::string& address,
+                               const std::string& target,
+                               const CommandOptions& options) {
+  http::HttpClient client(kAdminTimeout);
+  const auto reply = client.Send("GET", address, target, "", options.token);
+  if (!reply) return reply.GetError();
+  if (reply->status != kHttpOk) {
+    return base::Error(
+        base::ErrorKind::kInternal,
+        fmt::format("{} answered {}: {}", address, reply->status, reply->body));
+  }
+  Struct root;
+  const auto parsed = wire::FromJson(reply->body, root);
+  if (!parsed) return parsed.GetError();
+  return root;
+}
+
+ExitCode Dump(const std::string& address, const CommandOptions& options) {
+  http::HttpClient client(kAdminTimeout);
+  const auto reply = client.Send("GET", address, "/dump", "", options.token);
+  if (!reply) return Report(reply.GetError());
+  fmt::print("{}\n", reply->body);
+  return reply->status == kHttpOk ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+const google::protobuf::Value& Field(const Struct& object,
+                                     const std::string& name) {
+  static const google::protobuf::Value kNone;
+  const auto found = object.fields().find(name);
+  return found == object.fields().end() ? kNone : found->second;
+}
+
+// Asks each process itself, so that the line shows what is in force there.
+void PrintMember(const Struct& member, const CommandOptions& options) {
+  const std::string address = Field(member, "admin_address").string_value();
+  const bool live = Field(member, "live").bool_value();
+  std::string state = live ? "live" : "gone";
+  std::string config = "unknown";
+  if (live) {
+    const auto own = FetchJson(address, "/members", options);
+    if (!own) {
+      state = "unreachable";
+    } else {
+      if (Field(*own, "draining").bool_value()) state = "draining";
+      config = fmt::format("next_offset={} generation={} ready={}",
+                           Field(*own, "config_next_offset").number_value(),
+                           Field(*own, "config_generation").number_value(),
+                           Field(*own, "config_ready").bool_value());
+    }
+  }
+  fmt::print("{} domain={} admin={} {} {}\n",
+             Field(member, "incarnation").string_value(),
+             Field(member, "domain").string_value(), address, state, config);
+}
+
+ExitCode Status(const CommandOptions& options) {
+  if (options.admin_address.empty()) return Usage("--admin is missing");
+  const auto root = FetchJson(options.admin_address, "/members", options);
+  if (!root) return Report(root.GetError());
+  if (options.json) {
+    fmt::print("{}\n", wire::ToJson(*root));
+    return ExitCode::kOk;
+  }
+  for (const auto& member : Field(*root, "members").list_value().values()) {
+    PrintMember(member.struct_value(), options);
+  }
+  return ExitCode::kOk;
+}
+
+void PrintAnswer(const wire::JobAnswer& answer) {
+  fmt::print("{} {}\n", wire::JobState_Name(answer.state()), answer.key());
+  for (const wire::TaskResult& result : answer.results()) {
+    fmt::print("  {}\n", result.payload());
+  }
+  if (answer.state() != wire::FAILED) return;
+  const wire::Failure& failure = answer.failure();
+  fmt::print("  {} ({}): {}{}\n", failure.kind(),
+             wire::Execution_Name(failure.execution()),
+             failure.field().empty() ? "" : failure.field() + " ",
+             failure.message());
+}
+
+ExitCode CallJobs(const std::string& method, const std::string& target,
+                  const std::string& body, const CommandOptions& options) {
+  if (options.entry_address.empty()) return Usage("--entry is missing");
+  http::HttpClient client(std::chrono::milliseconds(options.timeout_ms) +
+                          kCallGrace);
+  const auto reply = client.Send(method, options.entry_address, target, body);
+  if (!reply) return Report(reply.GetError());
+  wire::JobAnswer answer;
+  const auto parsed = wire::FromJson(reply->body, answer);
+  if (!parsed) return Report(parsed.GetError());
+  if (options.json) {
+    fmt::print("{}\n", reply->body);
+  } else {
+    PrintAnswer(answer);
+  }
+  return answer.state() == wire::FAILED ? ExitCode::kFailed : ExitCode::kOk;
+}
+
+base::Result<std::string> JobBody(const CommandOptions& options) {
+  if (!options.job_file.empty()) {
+    std::ifstream file(options.job_file);
+    if (!file) {
+      return base::Error(base::ErrorKind::kInvalidRequest,
+                         options.job_file + " cannot be read");
+    }
+    return std::string{std::istreambuf_iterator<char>(file), {}};
+  }
+  wire::SubmitRequest request;
+  request.set_key(options.key);
+  request.set_team(options.team);
+  request.set_service(options.service);
+  request.set_timeout_ms(static_cast<std::uint32_t>(options.timeout_ms));
+  wire::Urgency urgency = wire::NORMAL;
+  if (!wire::Urgency_Parse(absl::AsciiStrToUpper(options.urgency), &urgency)) {
+    return base::Error(base::ErrorKind::kInvalidRequest,
+                       "--urgency must be urgent, normal or bulk");
+  }
+  request.set_urgency(urgency);
+  for (const std::string& task : options.tasks) {
+    request.add_tasks()->set_payload(task);
+  }
+  return wire::ToJson(request);
+}
+
+ExitCode Submit(const CommandOptions& options) {
+  const auto body = JobBody(options);
+  if (!body) return Usage(body.GetError().detail);
+  return CallJobs("POST",
+                  fmt::format("/v1/jobs?wait_ms={}", options.timeout_ms), *body,
+                  options);
+}
+
+}  // namespace
+
+ExitCode RunCommand(const std::vector<std::string>& arguments,
+                    const CommandOptions& options) {
+  const std::string& name = arguments.front();
+  const std::string operand = arguments.size() > 1 ? arguments[1] : "";
+  if (name == "status") return Status(options);
+  if (name == "submit") return Submit(options);
+  if (operand.empty()) return Usage("'" + name + "' needs an operand");
+  if (name == "check") return Check(operand, options);
+  if (name == "publish") return Publish(operand, options);
+  if (name == "dump") return Dump(operand, options);
+  if (name == "cancel") {
+    return CallJobs("DELETE", "/v1/jobs/" + operand, "", options);
+  }
+  if (name == "config" && (operand == "show" || operand == "history")) {
+    return ShowConfig(operand, options);
+  }
+  return Usage("'" + name + "' is not a command; see --help");
+}
+
+}  // namespace hawthornwheel::ctl
--- /dev/null
+++ b/src/libs/base/soft_assert.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/logger.h"
+
+namespace hawthornwheel::base {
+
+/// Logs a failed internal check and returns its value, so that the caller can
+/// leave the function in good order.
+inline bool SoftAssert(bool condition, std::string_view what) {
+  if (!condition) Logger("check").Error("An internal check failed: {}.", what);
+  return condition;
+}
+
+}  // namespace hawthornwheel::base
--- /dev/null
+++ b/src/libs/base/version.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string_view>
+
+namespace hawthornwheel::base {
+
+/// Version of the programs.
+inline constexpr std::string_view kVersion = "0.1.0";
+
+}  // namespace hawthornwheel::base
--- /dev/null
+++ b/src/libs/dispatch/admission_controller.cc
@@ -0,0 +1,183 @@
+#include "dispatch/admission_controller.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using std::chrono::milliseconds;
+
+}  // namespace
+
+AdmissionController::AdmissionController(base::Clock& clock,
+                                         const fleet::FleetBoard& fleet_board,
+                                         const DispatchBoard& board,
+                                         const DispatchSettings& settings)
+    : clock(clock),
+      fleet_board(fleet_board),
+      board(board),
+      settings(settings) {}
+
+fleet::Urgency AdmissionController::UrgencyOf(
+    const wire::SubmitRequest& request) {
+  switch (request.urgency()) {
+    case wire::URGENT:
+      return fleet::Urgency::kUrgent;
+    case wire::BULK:
+      return fleet::Urgency::kBulk;
+    default:
+      return fleet::Urgency::kNormal;
+  }
+}
+
+base::Result<std::shared_ptr<const fleet::ServiceConfig>>
+AdmissionController::Admit(const wire::SubmitRequest& request) const {
+  if (this->board.draining) return Error(ErrorKind::kDraining, "");
+  if (const auto error = this->CheckShape(request)) return *error;
+  if (!this->fleet_board.config_ready) return Error(ErrorKind::kNotReady, "");
+  const auto service = this->fleet_board.config.Find(request.service());
+  if (const auto error = this->CheckService(request, service.get())) {
+    return *error;
+  }
+  if (const auto error = this->CheckTasks(request, *service)) return *error;
+  if (const auto error = this->CheckCapacity(request, *service)) return *error;
+  return service;
+}
+
+std::optional<Error> AdmissionController::CheckShape(
+    const wire::SubmitRequest& request) const {
+  if (request.team().empty()) {
+    return Error(ErrorKind::kInvalidRequest, "is missing", "team");
+  }
+  if (request.service().empty()) {
+    return Error(ErrorKind::kInvalidRequest, "is missing", "service");
+  }
+  if (!wire::Urgency_IsValid(request.urgency())) {
+    return Error(ErrorKind::kInvalidRequest, "is not an urgency", "urgency");
+  }
+  if (request.timeout_ms() == 0) {
+    return Error(ErrorKind::kInvalidRequest, "must be above 0", "timeout_ms");
+  }
+  if (milliseconds(request.timeout_ms()) > this->settings.max_job_timeout) {
+    return Error(ErrorKind::kInvalidRequest,
+                 fmt::format("must be at most {} ms",
+                             this->settings.max_job_timeout / milliseconds(1)),
+                 "timeout_ms");
+  }
+  if (request.tasks_size() == 0) {
+    return Error(ErrorKind::kInvalidRequest, "must hold a task", "tasks");
+  }
+  if (request.tasks_size() > kMostTasksPerJob) {
+    return Error(ErrorKind::kTooLarge,
+                 fmt::format("must hold at most {} tasks", kMostTasksPerJob),
+                 "tasks");
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> AdmissionController::CheckService(
+    const wire::SubmitRequest& request,
+    const fleet::ServiceConfig* service) const {
+  if (service == nullptr || service->team != request.team()) {
+    if (!this->TeamExists(request.team())) {
+      return Error(ErrorKind::kUnknownTeam,
+                   fmt::format("team '{}' has no service", request.team()),
+                   "team");
+    }
+    return Error(ErrorKind::kUnknownService,
+                 fmt::format("team '{}' has no service '{}'", request.team(),
+                             request.service()),
+                 "service");
+  }
+  const fleet::Urgency urgency = UrgencyOf(request);
+  if (!service->urgencies.contains(urgency)) {
+    return Error(ErrorKind::kInvalidRequest,
+                 fmt::format("service '{}' has no class '{}'", service->name,
+                             fleet::UrgencyName(urgency)),
+                 "urgency");
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> AdmissionController::CheckTasks(
+    const wire::SubmitRequest& request,
+    const fleet::ServiceConfig& service) const {
+  for (int i = 0; i < request.tasks_size(); ++i) {
+    const std::size_t size = request.tasks(i).payload().size();
+    if (size <= service.max_payload_bytes) continue;
+    return Error(ErrorKind::kTooLarge,
+                 fmt::format("has {} bytes, the service takes {}", size,
+                             service.max_payload_bytes),
+                 fmt::format("tasks[{}].payload", i));
+  }
+  const auto load = this->board.services.find(service.name);
+  const bool has_endpoint = load != this->board.services.end() &&
+                            load->second.configured_endpoints > 0;
+  if (!has_endpoint) {
+    return Error(ErrorKind::kImpossibleJob,
+                 fmt::format("service '{}' has no endpoint", service.name),
+                 "service");
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> AdmissionController::CheckCapacity(
+    const wire::SubmitRequest& request,
+    const fleet::ServiceConfig& service) const {
+  const ServiceLoad& load = this->board.services.at(service.name);
+  const auto tasks = static_cast<std::uint64_t>(request.tasks_size());
+  if (load.queued_tasks + tasks > service.max_queued_tasks) {
+    return Error(ErrorKind::kQueueFull,
+                 fmt::format("service '{}' has {} tasks queued", service.name,
+                             load.queued_tasks));
+  }
+  std::uint64_t queued = 0;
+  for (const auto& [name, other] : this->board.services) {
+    queued += other.queued_tasks;
+  }
+  if (queued + tasks > this->settings.max_queued_tasks) {
+    return Error(ErrorKind::kQueueFull,
+                 fmt::format("the process has {} tasks queued", queued));
+  }
+  if (this->board.jobs.size() >= this->settings.max_jobs) {
+    return Error(ErrorKind::kQueueFull, fmt::format("the process keeps {} jobs",
+                                                    this->board.jobs.size()));
+  }
+  const base::Duration wait = this->ExpectedWait(service);
+  if (wait > milliseconds(request.timeout_ms())) {
+    return Error(
+        ErrorKind::kDeadlineUnreachable,
+        fmt::format("the expected wait is {} ms", wait / milliseconds(1)),
+        "timeout_ms");
+  }
+  return std::nullopt;
+}
+
+base::Duration AdmissionController::ExpectedWait(
+    const fleet::ServiceConfig& service) const {
+  const auto found = this->board.services.find(service.name);
+  if (found == this->board.services.end()) return base::Duration{0};
+  const ServiceLoad& load = found->second;
+  const base::TimePoint now = this->clock.Now();
+  std::uint64_t slots = 0;
+  for (const EndpointState* endpoint : load.pool) {
+    if (!endpoint->leaving) slots += UsableSlots(*endpoint, now);
+  }
+  if (slots == 0 || load.queued_tasks == 0) return base::Duration{0};
+  return load.mean_run_time * load.queued_tasks /
+         static_cast<base::Duration::rep>(slots);
+}
+
+bool AdmissionController::TeamExists(const std::string& team) const {
+  const auto& services = this->fleet_board.config.Services();
+  return std::any_of(services.begin(), services.end(), [&](const auto& entry) {
+    return entry.second.config && entry.second.config->team == team;
+  });
+}
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/admission_controller.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "dispatch/dispatch_board.h"
+#include "dispatch/dispatch_settings.h"
+#include "fleet/fleet_board.h"
+#include "wire/caller.pb.h"
+
+namespace hawthornwheel::dispatch {
+
+/// Most tasks that a job may have.
+inline constexpr int kMostTasksPerJob = 150;
+
+/// Decides whether a new job is taken. Reads the blackboards and writes
+/// nothing: a refusal is always "not run".
+class AdmissionController {
+ public:
+  /// All references must outlive the controller.
+  AdmissionController(base::Clock& clock, const fleet::FleetBoard& fleet_board,
+                      const DispatchBoard& board,
+                      const DispatchSettings& settings);
+
+  /// The service that the request is for, or why the job is refused.
+  base::Result<std::shared_ptr<const fleet::ServiceConfig>> Admit(
+      const wire::SubmitRequest& request) const;
+
+  /// Urgency class of a valid request.
+  static fleet::Urgency UrgencyOf(const wire::SubmitRequest& request);
+
+  /// Expected time until a new task of the service would start.
+  base::Duration ExpectedWait(const fleet::ServiceConfig& service) const;
+
+ private:
+  std::optional<base::Error> CheckShape(
+      const wire::SubmitRequest& request) const;
+  std::optional<base::Error> CheckService(
+      const wire::SubmitRequest& request,
+      const fleet::ServiceConfig* service) const;
+  std::optional<base::Error> CheckTasks(
+      const wire::SubmitRequest& request,
+      const fleet::ServiceConfig& service) const;
+  std::optional<base::Error> CheckCapacity(
+      const wire::SubmitRequest& request,
+      const fleet::ServiceConfig& service) const;
+  bool TeamExists(const std::string& team) const;
+
+  base::Clock& clock;
+  const fleet::FleetBoard& fleet_board;
+  const DispatchBoard& board;
+  const DispatchSettings& settings;
+};
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/dispatch_board.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dispatch/endpoint_state.h"
+#include "dispatch/fair_queue.h"
+#include "dispatch/job.h"
+
+namespace hawthornwheel::dispatch {
+
+/// One attempt that may occupy a slot.
+struct Attempt {
+  AttemptNumber number = 0;
+  /// The job, or 0 once the attempt no longer matters to it.
+  JobId job = 0;
+  std::uint32_t task = 0;
+  EndpointState* endpoint = nullptr;
+  std::shared_ptr<const fleet::ServiceConfig> service;
+  base::TimePoint started_at;
+  base::TimePoint lease_until;
+  base::TimerId timeout_timer = 0;
+  bool stopping = false;
+};
+
+/// What this process knows of one service's work.
+struct ServiceLoad {
+  std::uint32_t queued_tasks = 0;
+  std::uint32_t running_tasks = 0;
+  /// Learned run time of a task at an endpoint of mean speed.
+  base::Duration mean_run_time{0};
+  std::uint64_t completed = 0;
+  /// Learned share of attempts that failed at endpoints.
+  double failure_share = 0;
+  /// Retries still allowed, as a count that starts refill.
+  double retry_tokens = 0;
+  /// Endpoints that this process may use for the service.
+  std::vector<EndpointState*> pool;
+  /// Endpoints of any failure domain that the configuration gives it.
+  std::uint32_t configured_endpoints = 0;
+};
+
+/// Blackboard of the work in this process. Each part has one controller that
+/// writes it; all others read.
+struct DispatchBoard {
+  /// Written by JobController.
+  std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
+  FairQueue queue;
+  /// Written by AttemptController.
+  std::unordered_map<AttemptNumber, Attempt> attempts;
+  /// Written by EndpointController; `running` by AttemptController, health by
+  /// HealthController, loans by LoanController. States stay in place.
+  std::map<std::string, std::unique_ptr<EndpointState>> endpoints;
+  /// Pools by EndpointController, counts by JobController and
+  /// AttemptController, by service.
+  std::map<std::string, ServiceLoad> services;
+  /// Written by DrainController.
+  bool draining = false;
+};
+
+/// Slots of an endpoint that this process may fill at `now`.
+std::uint32_t UsableSlots(const EndpointState& endpoint, base::TimePoint now);
+
+/// Slots of an endpoint that are free for one more attempt at `now`.
+std::uint32_t FreeSlots(const EndpointState& endpoint, base::TimePoint now);
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/dispatch_settings.cc
@@ -0,0 +1,48 @@
+#include "dispatch/dispatch_settings.h"
+
+#include <chrono>
+
+#include "base/settings_reader.h"
+
+namespace hawthornwheel::dispatch {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::int64_t kMostEpochs = 1000;
+constexpr std::int64_t kMostTasks = 10'000'000;
+
+DispatchSettings DispatchSettings::Read(base::SettingsReader& reader) {
+  DispatchSettings settings;
+  settings.epoch_length =
+      reader.Time("dispatch", "epoch_length", settings.epoch_length, seconds(1),
+                  minutes(60));
+  settings.remembered_epochs = static_cast<std::uint64_t>(reader.Integer(
+      "dispatch", "remembered_epochs",
+      static_cast<std::int64_t>(settings.remembered_epochs), 1, kMostEpochs));
+  settings.answer_retention =
+      reader.Time("dispatch", "answer_retention", settings.answer_retention,
+                  seconds(1), minutes(60));
+  settings.max_job_timeout =
+      reader.Time("dispatch", "max_job_timeout", settings.max_job_timeout,
+                  seconds(1), minutes(60));
+  settings.max_queued_tasks = static_cast<std::uint64_t>(reader.Integer(
+      "dispatch", "max_queued_tasks",
+      static_cast<std::int64_t>(settings.max_queued_tasks), 1, kMostTasks));
+  settings.max_jobs = static_cast<std::uint64_t>(reader.Integer(
+      "dispatch", "max_jobs", static_cast<std::int64_t>(settings.max_jobs), 1,
+      kMostTasks));
+  settings.quarantine =
+      reader.Time("dispatch", "quarantine", settings.quarantine,
+                  milliseconds(100), minutes(5));
+  settings.drain_timeout =
+      reader.Time("dispatch", "drain_timeout", settings.drain_timeout,
+                  milliseconds(100), minutes(60));
+  settings.forward_grace =
+      reader.Time("dispatch", "forward_grace", settings.forward_grace,
+                  milliseconds(100), seconds(30));
+  return settings;
+}
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/dispatcher.cc
@@ -0,0 +1,165 @@
+#include "dispatch/dispatcher.h"
+
+#include <chrono>
+#include <utility>
+
+#include "base/timer.h"
+#include "dispatch/admission_controller.h"
+#include "dispatch/attempt_controller.h"
+#include "dispatch/dispatch_board.h"
+#include "dispatch/drain_controller.h"
+#include "dispatch/endpoint_controller.h"
+#include "dispatch/forwarding_jobs.h"
+#include "dispatch/health_controller.h"
+#include "dispatch/job_controller.h"
+#include "dispatch/routing_controller.h"
+#include "fleet/config_controller.h"
+#include "fleet/leaving_controller.h"
+#include "fleet/membership_controller.h"
+#include "fleet/peer_messenger.h"
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+constexpr base::Duration kCareInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+class Dispatcher::Private {
+ public:
+  Private(const DispatcherParts& parts, const wire::MemberAnnounce& self,
+          const fleet::FleetSettings& fleet_settings,
+          const DispatchSettings& dispatch_settings)
+      : fleet_settings(fleet_settings),
+        dispatch_settings(dispatch_settings),
+        messenger(parts.clock, parts.transport, parts.metrics,
+                  fleet_settings.cluster, self.incarnation(),
+                  self.peer_address()),
+        config(parts.clock, parts.log, this->messenger, this->fleet_board,
+               parts.metrics, this->fleet_settings),
+        membership(parts.clock, parts.log, this->messenger, this->fleet_board,
+                   parts.metrics, this->fleet_settings),
+        leaving(parts.clock, parts.vm_list, this->fleet_board, parts.metrics,
+                this->fleet_settings),
+        endpoints(parts.clock, this->fleet_board, this->membership,
+                  this->leaving, this->board),
+        health(parts.clock, this->board, parts.metrics,
+               this->dispatch_settings),
+        attempts(parts.clock, parts.endpoints, this->leaving, this->health,
+                 this->board, parts.metrics, self.incarnation()),
+        routing(parts.clock, this->board, this->attempts, parts.selector,
+                parts.metrics),
+        admission(parts.clock, this->fleet_board, this->board,
+                  this->dispatch_settings),
+        jobs(parts.clock, this->admission, this->attempts, this->routing,
+             this->board, parts.metrics, this->dispatch_settings,
+             self.incarnation()),
+        forwarding(this->jobs, this->messenger, this->fleet_board,
+                   parts.metrics, this->dispatch_settings),
+        drain(parts.clock, this->board, this->jobs, this->membership,
+              this->dispatch_settings),
+        care_timer(parts.clock) {
+    this->fleet_board.self = self;
+    this->Connect();
+  }
+
+  void Connect() {
+    const auto rebuild = [this] {
+      this->endpoints.Rebuild();
+      this->routing.Run();
+    };
+    this->config.SetChangeListener(rebuild);
+    this->membership.SetChangeListener(rebuild);
+    this->leaving.SetChangeListener(rebuild);
+    this->config.SetRecordListener([this](const wire::LogRecord& record) {
+      this->membership.OnRecord(record);
+    });
+    this->membership.SetHeartbeatFiller([this](wire::Heartbeat& heartbeat) {
+      this->endpoints.FillHeartbeat(heartbeat);
+      this->leaving.FillHeartbeat(heartbeat);
+    });
+    this->membership.SetHeartbeatListener(
+        [this](const wire::Envelope& envelope) {
+          this->OnHeartbeat(envelope);
+        });
+    this->jobs.SetReadiness([this] { return this->fleet_board.config_ready; });
+  }
+
+  void OnHeartbeat(const wire::Envelope& envelope) {
+    const wire::Heartbeat& heartbeat = envelope.heartbeat();
+    this->leaving.OnHeartbeat(heartbeat);
+    this->config.OnPeerOffset(envelope.sender_address(),
+                              heartbeat.config_next_offset());
+    this->endpoints.UpdateHeldSlots();
+    this->routing.Run();
+  }
+
+  void TakeCare() {
+    this->health.ReleaseQuarantines();
+    this->routing.Run();
+  }
+
+  void Start() {
+    this->membership.Start();
+    this->config.Start();
+    this->leaving.Start();
+    this->attempts.Start();
+    this->care_timer.StartPeriodic(kCareInterval, [this] { this->TakeCare(); });
+  }
+
+  fleet::FleetSettings fleet_settings;
+  DispatchSettings dispatch_settings;
+  fleet::FleetBoard fleet_board;
+  DispatchBoard board;
+  fleet::PeerMessenger messenger;
+  fleet::ConfigController config;
+  fleet::MembershipController membership;
+  fleet::LeavingController leaving;
+  EndpointController endpoints;
+  HealthController health;
+  AttemptController attempts;
+  RoutingController routing;
+  AdmissionController admission;
+  JobController jobs;
+  ForwardingJobs forwarding;
+  DrainController drain;
+  base::Timer care_timer;
+};
+
+Dispatcher::Dispatcher(const DispatcherParts& parts, wire::MemberAnnounce self,
+                       const fleet::FleetSettings& fleet_settings,
+                       const DispatchSettings& dispatch_settings)
+    : d(std::make_unique<Private>(parts, self, fleet_settings,
+                                  dispatch_settings)) {}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::SetAddresses(const std::string& callers,
+                              const std::string& admin) {
+  this->d->fleet_board.self.set_caller_address(callers);
+  this->d->fleet_board.self.set_admin_address(admin);
+}
+
+void Dispatcher::Start() { this->d->Start(); }
+
+JobService& Dispatcher::Jobs() { return this->d->forwarding; }
+
+const fleet::FleetBoard& Dispatcher::GetFleetBoard() const {
+  return this->d->fleet_board;
+}
+
+const DispatchBoard& Dispatcher::GetDispatchBoard() const {
+  return this->d->board;
+}
+
+const fleet::MembershipController& Dispatcher::GetMembership() const {
+  return this->d->membership;
+}
+
+const JobController& Dispatcher::GetJobController() const {
+  return this->d->jobs;
+}
+
+DrainController& Dispatcher::GetDrain() { return this->d->drain; }
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/drain_controller.cc
@@ -0,0 +1,77 @@
+#include "dispatch/drain_controller.h"
+
+#include <chrono>
+#include <utility>
+
+#include "base/logger.h"
+#include "dispatch/job_controller.h"
+#include "fleet/membership_controller.h"
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Logger kLog("drain");
+
+constexpr base::Duration kCheckInterval = milliseconds(50);
+// An unreachable log does not hold up the exit for longer.
+constexpr base::Duration kLongestLeave = seconds(2);
+// Time for the balancer to see the readiness go, and for answers to be read.
+constexpr base::Duration kLinger = milliseconds(500);
+
+}  // namespace
+
+DrainController::DrainController(base::Clock& clock, DispatchBoard& board,
+                                 JobController& jobs,
+                                 fleet::MembershipController& membership,
+                                 const DispatchSettings& settings)
+    : clock(clock),
+      board(board),
+      jobs(jobs),
+      membership(membership),
+      settings(settings),
+      check_timer(clock),
+      leave_timer(clock) {}
+
+void DrainController::Begin(std::function<void()> done) {
+  if (this->board.draining) return;
+  kLog.Info("Draining. open_jobs={}", this->jobs.OpenJobs());
+  this->board.draining = true;
+  this->done = std::move(done);
+  this->hurry_at = this->clock.Now() + this->settings.drain_timeout;
+  this->check_timer.StartPeriodic(kCheckInterval, [this] { this->Check(); });
+}
+
+void DrainController::Hurry() {
+  if (!this->board.draining) return;
+  kLog.Warning("Ending what is left. open_jobs={}", this->jobs.OpenJobs());
+  this->jobs.FailAll(base::ErrorKind::kCancelled,
+                     "the process was told to stop at once");
+}
+
+void DrainController::Check() {
+  if (this->jobs.OpenJobs() > 0 && this->clock.Now() >= this->hurry_at) {
+    this->Hurry();
+  }
+  if (this->jobs.OpenJobs() > 0 || !this->board.attempts.empty()) return;
+  if (this->leaving) return;
+  this->leaving = true;
+  this->LeaveFleet();
+}
+
+void DrainController::LeaveFleet() {
+  this->leave_timer.StartOnce(kLongestLeave, [this] { this->Finish(); });
+  this->membership.Leave([this] {
+    this->leave_timer.StartOnce(kLinger, [this] { this->Finish(); });
+  });
+}
+
+void DrainController::Finish() {
+  this->check_timer.Stop();
+  kLog.Info("Drained.");
+  if (this->done) std::exchange(this->done, nullptr)();
+}
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/endpoint_controller.cc
@@ -0,0 +1,170 @@
+#include "dispatch/endpoint_controller.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/leaving_controller.h"
+#include "fleet/membership_controller.h"
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+constexpr double kHashRange = 18446744073709551616.0;
+
+// Score of weighted rendezvous hashing; the highest score owns.
+double OwnerScore(const std::string& incarnation, const std::string& address,
+                  double weight) {
+  const XXH64_hash_t seed = XXH64(incarnation.data(), incarnation.size(), 0);
+  const XXH64_hash_t hash = XXH64(address.data(), address.size(), seed);
+  const double uniform = (static_cast<double>(hash) + 1) / (kHashRange + 2);
+  return -weight / std::log(uniform);
+}
+
+}  // namespace
+
+EndpointController::EndpointController(
+    base::Clock& clock, const fleet::FleetBoard& fleet_board,
+    const fleet::MembershipController& membership,
+    const fleet::LeavingController& leaving, DispatchBoard& board)
+    : clock(clock),
+      fleet_board(fleet_board),
+      membership(membership),
+      leaving(leaving),
+      board(board) {}
+
+void EndpointController::Rebuild() {
+  this->candidates = this->Candidates();
+  this->configured.clear();
+  for (auto& [name, load] : this->board.services) {
+    load.pool.clear();
+    load.configured_endpoints = 0;
+  }
+  for (auto& [address, endpoint] : this->board.endpoints) {
+    endpoint->slots = 0;
+    endpoint->owned = false;
+  }
+  for (const auto& [name, state] : this->fleet_board.config.Services()) {
+    if (!state.config) continue;
+    ServiceLoad& load = this->board.services[name];
+    for (const fleet::EndpointSpec& spec : this->EndpointsOf(*state.config)) {
+      ++load.configured_endpoints;
+      this->AddToPool(*state.config, spec, load);
+    }
+    this->board.queue.SetWeights({state.config->team, name},
+                                 state.config->team_weight,
+                                 state.config->weight);
+  }
+  this->UpdateHeldSlots();
+  this->DropUnused();
+}
+
+void EndpointController::UpdateHeldSlots() {
+  for (auto& [address, endpoint] : this->board.endpoints) {
+    endpoint->held_by_others = 0;
+  }
+  for (const auto& [incarnation, member] : this->fleet_board.members) {
+    if (!this->membership.IsLive(member)) continue;
+    for (const auto& [address, slots] : member.held_slots) {
+      const auto found = this->board.endpoints.find(address);
+      if (found == this->board.endpoints.end()) continue;
+      found->second->held_by_others += slots;
+    }
+  }
+}
+
+void EndpointController::FillHeartbeat(wire::Heartbeat& heartbeat) const {
+  const base::TimePoint now = this->clock.Now();
+  std::uint32_t free = 0;
+  for (const auto& [address, endpoint] : this->board.endpoints) {
+    if (endpoint->owned) free += FreeSlots(*endpoint, now);
+    const bool held =
+        !endpoint->owned && endpoint->borrowed == 0 && endpoint->running > 0;
+    if (!held) continue;
+    wire::HeldSlots* slots = heartbeat.add_held();
+    slots->set_endpoint(address);
+    slots->set_slots(endpoint->running);
+  }
+  std::uint32_t queued = 0;
+  for (const auto& [name, load] : this->board.services) {
+    queued += load.queued_tasks;
+  }
+  heartbeat.set_free_slots(free);
+  heartbeat.set_queued_tasks(queued);
+}
+
+void EndpointController::DropUnused() {
+  std::erase_if(this->board.endpoints, [this](const auto& entry) {
+    const EndpointState& endpoint = *entry.second;
+    return !this->configured.contains(entry.first) && endpoint.running == 0 &&
+           endpoint.lent == 0 && endpoint.borrowed == 0;
+  });
+}
+
+std::vector<fleet::EndpointSpec> EndpointController::EndpointsOf(
+    const fleet::ServiceConfig& config) const {
+  std::vector<fleet::EndpointSpec> specs = config.endpoints;
+  if (config.selector_group.empty()) return specs;
+  for (const auto& [ip, vm] : this->fleet_board.vms) {
+    if (vm.group() != config.selector_group) continue;
+    specs.push_back(
+        {fmt::format("{}:{}", ip, config.selector_port), vm.domain()});
+  }
+  return specs;
+}
+
+void EndpointController::AddToPool(const fleet::ServiceConfig& config,
+                                   const fleet::EndpointSpec& spec,
+                                   ServiceLoad& load) {
+  if (spec.domain != this->fleet_board.self.domain()) return;
+  this->configured.insert(spec.address);
+  std::unique_ptr<EndpointState>& state = this->board.endpoints[spec.address];
+  if (!state) {
+    state = std::make_unique<EndpointState>();
+    state->address = spec.address;
+    state->domain = spec.domain;
+  }
+  // Services that share an endpoint share its slots; the lowest figure holds.
+  const bool is_first = state->slots == 0;
+  state->slots = is_first ? config.slots : std::min(state->slots, config.slots);
+  state->connections = is_first
+                           ? config.connections
+                           : std::min(state->connections, config.connections);
+  state->owned = this->OwnsEndpoint(spec.address);
+  state->leaving = this->leaving.IsLeaving(spec.address);
+  if (state->owned || state->borrowed > 0) load.pool.push_back(state.get());
+}
+
+bool EndpointController::OwnsEndpoint(const std::string& address) const {
+  const Candidate* owner = nullptr;
+  double best = 0;
+  for (const Candidate& candidate : this->candidates) {
+    const double score =
+        OwnerScore(candidate.incarnation, address, candidate.weight);
+    if (owner != nullptr && score <= best) continue;
+    owner = &candidate;
+    best = score;
+  }
+  return owner != nullptr &&
+         owner->incarnation == this->fleet_board.self.incarnation();
+}
+
+std::vector<EndpointController::Candidate> EndpointController::Candidates()
+    const {
+  std::vector<Candidate> candidates;
+  const wire::MemberAnnounce& self = this->fleet_board.self;
+  for (const std::string& incarnation :
+       this->membership.LiveIn(self.domain())) {
+    const auto found = this->fleet_board.members.find(incarnation);
+    const wire::MemberAnnounce& announce =
+        found == this->fleet_board.members.end() ? self
+                                                 : found->second.announce;
+    candidates.push_back(
+        {incarnation, std::max(1.0, double(announce.weight()))});
+  }
+  return candidates;
+}
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/endpoint_controller.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "dispatch/dispatch_board.h"
+#include "fleet/fleet_board.h"
+
+namespace hawthornwheel::fleet {
+class LeavingController;
+class MembershipController;
+}  // namespace hawthornwheel::fleet
+
+namespace hawthornwheel::dispatch {
+
+/// Derives the endpoints that this process may use from the configuration, the
+/// list of VMs and the live members of the failure domain. Each endpoint of the
+/// domain has one owner among them, by weighted rendezvous hashing, so that no
+/// message per task is needed to keep its slots.
+///
+/// Owns on the blackboard: `endpoints` (the set, slots, ownership, leaving) and
+/// the pools of `services`.
+class EndpointController {
+ public:
+  /// All references must outlive the controller.
+  EndpointController(base::Clock& clock, const fleet::FleetBoard& fleet_board,
+                     const fleet::MembershipController& membership,
+                     const fleet::LeavingController& leaving,
+                     DispatchBoard& board);
+
+  /// Derives everything anew; called after any of the sources has changed.
+  void Rebuild();
+
+  /// Reads the slots that former owners still use from the members.
+  void UpdateHeldSlots();
+
+  /// Adds the slots that this process still uses at endpoints of others.
+  void FillHeartbeat(wire::Heartbeat& heartbeat) const;
+
+  /// Drops endpoints that nothing uses any more.
+  void DropUnused();
+
+ private:
+  struct Candidate {
+    std::string incarnation;
+    double weight = 1;
+  };
+
+  std::vector<fleet::EndpointSpec> EndpointsOf(
+      const fleet::ServiceConfig& config) const;
+  void AddToPool(const fleet::ServiceConfig& config,
+                 const fleet::EndpointSpec& spec, ServiceLoad& load);
+  bool OwnsEndpoint(const std::string& address) const;
+  std::vector<Candidate> Candidates() const;
+
+  base::Clock& clock;
+  const fleet::FleetBoard& fleet_board;
+  const fleet::MembershipController& membership;
+  const fleet::LeavingController& leaving;
+  DispatchBoard& board;
+  std::vector<Candidate> candidates;
+  std::set<std::string> configured;
+};
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/key_registry.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "dispatch/submission_key.h"
+
+namespace hawthornwheel::dispatch {
+
+/// Internal number of a job in this process; 0 names none.
+using JobId = std::uint64_t;
+
+/// What the registry knows of a key.
+enum class KeyStanding {
+  /// Never seen, of an epoch that is remembered: the job may be admitted.
+  kFresh,
+  /// Seen before.
+  kKnown,
+  /// Of an epoch that is no longer remembered.
+  kExpired,
+  /// Of another home, or of an epoch that has not begun.
+  kForeign,
+};
+
+/// Remembers the submission keys of the latest epochs of this incarnation, so
+/// that no key is admitted twice. Memory is bounded by the number of epochs.
+class KeyRegistry {
+ public:
+  /// A key that was admitted.
+  struct Entry {
+    JobId job = 0;
+    std::uint64_t fingerprint = 0;
+  };
+
+  /// `clock` must outlive the registry. Keys are remembered for `epochs` whole
+  /// epochs beside the current one.
+  KeyRegistry(const base::Clock& clock, std::string home,
+              base::Duration epoch_length, std::uint64_t epochs);
+
+  /// `home/epoch/` of the current epoch.
+  std::string CurrentPrefix() const;
+
+  /// A new key of the current epoch.
+  SubmissionKey Mint();
+
+  /// Standing of a key. Forgets epochs that have passed.
+  KeyStanding Check(const SubmissionKey& key);
+
+  /// Entry of a known key, or null.
+  const Entry* Find(const SubmissionKey& key) const;
+
+  /// Remembers a fresh key.
+  void Remember(const SubmissionKey& key, Entry entry);
+
+  /// Number of keys remembered.
+  std::size_t Size() const;
+
+ private:
+  using Epoch = std::unordered_map<std::string, Entry>;
+
+  std::uint64_t CurrentEpoch() const;
+  std::uint64_t OldestEpoch() const;
+  void ForgetOld();
+
+  const base::Clock& clock;
+  std::string home;
+  base::Duration epoch_length;
+  std::uint64_t epochs;
+  base::TimePoint started_at;
+  std::uint64_t minted = 0;
+  /// Oldest epoch in `remembered`.
+  std::uint64_t first_epoch = 0;
+  std::deque<Epoch> remembered;
+};
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/fleet/membership_controller.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/timer.h"
+#include "fleet/fleet_board.h"
+#include "fleet/fleet_settings.h"
+#include "platform/log_client.h"
+
+namespace hawthornwheel::base {
+class Metrics;
+}
+
+namespace hawthornwheel::fleet {
+
+class PeerMessenger;
+
+/// Keeps the incarnations that this process knows of.
+///
+/// Owns on the blackboard: `members`. Incarnations come from the log, from the
+/// seeds of the settings and from heartbeats. Heartbeats go to all live members
+/// of the own failure domain; between domains only a few relays exchange them.
+class MembershipController {
+ public:
+  /// Fills what a heartbeat says beside the member itself.
+  using HeartbeatFiller = std::function<void(wire::Heartbeat&)>;
+
+  /// All references must outlive the controller.
+  MembershipController(base::Clock& clock, platform::LogClient& log,
+                       PeerMessenger& messenger, FleetBoard& board,
+                       base::Metrics& metrics, const FleetSettings& settings);
+
+  /// Announces this process and starts the heartbeats.
+  void Start();
+
+  /// Takes records of membership from the log.
+  void OnRecord(const wire::LogRecord& record);
+
+  /// Sets the function that adds load and endpoint state to heartbeats.
+  void SetHeartbeatFiller(HeartbeatFiller filler);
+
+  /// Sets the function called for each heartbeat taken.
+  void SetHeartbeatListener(
+      std::function<void(const wire::Envelope&)> listener);
+
+  /// Sets the function called after the set of live members has changed.
+  void SetChangeListener(std::function<void()> listener);
+
+  /// Tells peers and the log that this process leaves; `done` runs when the log
+  /// has answered, or failed to.
+  void Leave(std::function<void()> done);
+
+  /// Whether a member was heard lately and has not left.
+  bool IsLive(const Member& member) const;
+
+  /// Live incarnations of a failure domain in the order of their names, this
+  /// process included when it belongs there and is not leaving.
+  std::vector<std::string> LiveIn(const std::string& domain) const;
+
+ private:
+  void Announce();
+  void BeatOnce();
+  void SendTo(const std::string& address, const wire::Heartbeat& heartbeat);
+  wire::Heartbeat MakeHeartbeat() const;
+  void AddRemoteDigests(wire::Heartbeat& heartbeat) const;
+  std::set<std::string> HeartbeatTargets() const;
+  bool IsRelay() const;
+  std::vector<std::string> RelaysOf(const std::string& domain) const;
+  void OnHeartbeat(const wire::Envelope& envelope);
+  void OnRemoteDigest(const wire::MemberDigest& digest);
+  Member& Learn(const wire::MemberAnnounce& announce);
+  void ReplaceAddress(const wire::MemberAnnounce& newer);
+  void ForgetOld();
+  void NotifyChange();
+
+  base::Clock& clock;
+  platform::LogClient& log;
+  PeerMessenger& messenger;
+  FleetBoard& board;
+  base::Metrics& metrics;
+  const FleetSettings& settings;
+  base::Timer beat_timer;
+  base::Timer announce_timer;
+  HeartbeatFiller filler;
+  std::function<void(const wire::Envelope&)> heartbeat_listener;
+  std::function<void()> change_listener;
+  std::vector<std::string> last_live;
+  std::uint64_t beats = 0;
+  bool leaving = false;
+};
+
+}  // namespace hawthornwheel::fleet
--- /dev/null
+++ b/src/libs/fleet/service_config.cc
@@ -0,0 +1,160 @@
+#include "fleet/service_config.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+#include "base/address.h"
+#include "base/settings_reader.h"
+
+namespace hawthornwheel::fleet {
+namespace {
+
+using base::Duration;
+using base::Presence;
+using base::SettingsReader;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t kLongestName = 64;
+constexpr std::int64_t kMostSlots = 1024;
+constexpr std::int64_t kMostConnections = 4096;
+constexpr std::int64_t kMostQueuedTasks = 1'000'000;
+constexpr std::int64_t kMostPayloadBytes = 16 << 20;
+constexpr std::int64_t kDefaultPayloadBytes = 64 << 10;
+constexpr std::int64_t kDefaultQueuedTasks = 20'000;
+constexpr std::int64_t kHighestPort = 65535;
+constexpr double kLeastWeight = 0.01;
+constexpr double kMostWeight = 100;
+
+bool IsName(const std::string& text) {
+  if (text.empty() || text.size() > kLongestName) return false;
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+  });
+}
+
+std::string ReadName(SettingsReader& reader, const std::string& key) {
+  std::string name = reader.Text("service", key, Presence::kRequired);
+  if (!name.empty() && !IsName(name)) {
+    reader.AddFault("service", key,
+                    "must be 1 to 64 letters, digits, '-', '_' or '.'");
+  }
+  return name;
+}
+
+void ReadEndpointList(SettingsReader& reader, ServiceConfig& config) {
+  std::set<std::string> seen;
+  for (const std::string& text :
+       reader.List("endpoints", "addresses", Presence::kOptional)) {
+    const std::size_t at = text.find('@');
+    const std::string address = text.substr(0, at);
+    const auto parsed = base::ParseAddress(address);
+    if (at == std::string::npos || !parsed || parsed->port == 0 ||
+        !IsName(text.substr(at + 1))) {
+      reader.AddFault("endpoints", "addresses",
+                      fmt::format("'{}' is not IP:port@domain", text));
+      continue;
+    }
+    if (!seen.insert(address).second) {
+      reader.AddFault("endpoints", "addresses",
+                      fmt::format("'{}' stands twice", address));
+      continue;
+    }
+    config.endpoints.push_back({address, text.substr(at + 1)});
+  }
+}
+
+void ReadEndpoints(SettingsReader& reader, ServiceConfig& config) {
+  ReadEndpointList(reader, config);
+  config.selector_group =
+      reader.Text("endpoints", "selector", Presence::kOptional);
+  config.selector_port = static_cast<std::uint16_t>(
+      reader.Integer("endpoints", "selector_port", 0, 1, kHighestPort));
+  if (!config.selector_group.empty() && config.selector_port == 0) {
+    reader.AddFault("endpoints", "selector_port",
+                    "is missing, and the selector needs it");
+  }
+  if (config.selector_group.empty() && config.endpoints.empty()) {
+    reader.AddFault("endpoints", "addresses",
+                    "names no endpoint, and there is no selector");
+  }
+  config.slots = static_cast<std::uint32_t>(
+      reader.Integer("endpoints", "slots", 8, 1, kMostSlots));
+  config.connections = static_cast<std::uint32_t>(
+      reader.Integer("endpoints", "connections", 64, 1, kMostConnections));
+  if (config.connections < config.slots) {
+    reader.AddFault("endpoints", "connections", "is below slots");
+  }
+}
+
+void ReadUrgencies(SettingsReader& reader, ServiceConfig& config) {
+  for (const std::string& name :
+       reader.List("urgency", "classes", Presence::kOptional)) {
+    const auto urgency = FindUrgency(name);
+    if (!urgency) {
+      reader.AddFault("urgency", "classes",
+                      fmt::format("'{}' is not urgent, normal or bulk", name));
+      continue;
+    }
+    config.urgencies.insert(*urgency);
+  }
+  if (config.urgencies.empty()) {
+    config.urgencies = {Urgency::kUrgent, Urgency::kNormal, Urgency::kBulk};
+  }
+}
+
+void ReadLimits(SettingsReader& reader, ServiceConfig& config) {
+  config.weight =
+      reader.Number("limits", "weight", 1, kLeastWeight, kMostWeight);
+  config.team_weight =
+      reader.Number("limits", "team_weight", 1, kLeastWeight, kMostWeight);
+  config.max_queued_tasks = static_cast<std::uint32_t>(reader.Integer(
+      "limits", "max_queued_tasks", kDefaultQueuedTasks, 1, kMostQueuedTasks));
+  config.max_running_tasks = static_cast<std::uint32_t>(
+      reader.Integer("limits", "max_running_tasks", 0, 0, kMostQueuedTasks));
+  config.max_payload_bytes = static_cast<std::uint64_t>(
+      reader.Integer("limits", "max_payload_bytes", kDefaultPayloadBytes, 1,
+                     kMostPayloadBytes));
+}
+
+void ReadTimeouts(SettingsReader& reader, ServiceConfig& config) {
+  config.task_timeout = reader.Time("timeouts", "task", seconds(30),
+                                    milliseconds(10), minutes(10));
+  config.lease = reader.Time("timeouts", "lease", seconds(5), milliseconds(500),
+                             minutes(1));
+}
+
+void ReadRetries(SettingsReader& reader, ServiceConfig& config) {
+  config.max_refusals = static_cast<std::uint32_t>(
+      reader.Integer("retry", "max_refusals", 3, 0, 100));
+  config.retry_budget = reader.Number("retry", "budget", 0.1, 0, 1);
+}
+
+}  // namespace
+
+ServiceConfigReading ReadServiceConfig(const std::string& file_name,
+                                       std::string_view text) {
+  const base::IniFile file = base::IniFile::Parse(file_name, text);
+  SettingsReader reader(file);
+  ServiceConfig config;
+  config.name = ReadName(reader, "name");
+  config.team = ReadName(reader, "team");
+  config.idempotent = reader.Flag("service", "idempotent", false);
+  ReadEndpoints(reader, config);
+  ReadUrgencies(reader, config);
+  ReadLimits(reader, config);
+  ReadTimeouts(reader, config);
+  ReadRetries(reader, config);
+  ServiceConfigReading reading;
+  reading.faults = reader.Finish();
+  if (reading.faults.empty()) {
+    reading.config = std::make_shared<const ServiceConfig>(std::move(config));
+  }
+  return reading;
+}
+
+}  // namespace hawthornwheel::fleet
--- /dev/null
+++ b/src/libs/http/http_request.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace hawthornwheel::http {
+
+/// Request as a server got it.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> query;
+  /// Header names in lower case.
+  std::map<std::string, std::string> headers;
+  std::string body;
+
+  /// Value of a query parameter, or `fallback`.
+  std::string Query(const std::string& name,
+                    const std::string& fallback = "") const {
+    const auto found = this->query.find(name);
+    return found == this->query.end() ? fallback : found->second;
+  }
+
+  /// Value of a header, or the empty text.
+  std::string Header(const std::string& name) const {
+    const auto found = this->headers.find(name);
+    return found == this->headers.end() ? "" : found->second;
+  }
+};
+
+/// Answer to a request.
+struct HttpReply {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+  std::map<std::string, std::string> headers;
+};
+
+}  // namespace hawthornwheel::http
--- /dev/null
+++ b/src/libs/http/http_server.cc
@@ -0,0 +1,198 @@
+#include "http/http_server.h"
+
+#include <libsoup/soup.h>
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "base/address.h"
+
+namespace hawthornwheel::http {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+// One request whose answer is due. It keeps the message until the message has
+// finished, with or without the client.
+class Exchange {
+ public:
+  Exchange(SoupServerMessage* message, std::shared_ptr<std::size_t> open)
+      : message(message), open(std::move(open)) {
+    g_object_ref(message);
+    ++*this->open;
+  }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+  ~Exchange() {
+    --*this->open;
+    g_object_unref(this->message);
+  }
+
+  void Respond(const HttpReply& reply) {
+    if (this->answered || this->finished) return;
+    this->answered = true;
+    SoupMessageHeaders* headers =
+        soup_server_message_get_response_headers(this->message);
+    for (const auto& [name, value] : reply.headers) {
+      soup_message_headers_replace(headers, name.c_str(), value.c_str());
+    }
+    soup_server_message_set_status(this->message,
+                                   static_cast<guint>(reply.status), nullptr);
+    soup_server_message_set_response(this->message, reply.content_type.c_str(),
+                                     SOUP_MEMORY_COPY, reply.body.data(),
+                                     reply.body.size());
+    if (this->paused) soup_server_message_unpause(this->message);
+  }
+
+  void PauseUntilAnswered() {
+    if (this->answered) return;
+    this->paused = true;
+    soup_server_message_pause(this->message);
+  }
+
+  void MarkFinished() { this->finished = true; }
+
+ private:
+  SoupServerMessage* message;
+  std::shared_ptr<std::size_t> open;
+  bool answered = false;
+  bool paused = false;
+  bool finished = false;
+};
+
+using ExchangePointer = std::shared_ptr<Exchange>;
+
+void OnFinished(SoupServerMessage*, gpointer data) {
+  (*static_cast<ExchangePointer*>(data))->MarkFinished();
+}
+
+void DeleteExchange(gpointer data, GClosure*) {
+  delete static_cast<ExchangePointer*>(data);
+}
+
+void CopyQuery(gpointer key, gpointer value, gpointer data) {
+  auto* query = static_cast<std::map<std::string, std::string>*>(data);
+  (*query)[static_cast<const char*>(key)] = static_cast<const char*>(value);
+}
+
+void CopyHeader(const char* name, const char* value, gpointer data) {
+  auto* headers = static_cast<std::map<std::string, std::string>*>(data);
+  (*headers)[absl::AsciiStrToLower(name)] = value;
+}
+
+HttpRequest ReadRequest(SoupServerMessage* message, const char* path,
+                        GHashTable* query) {
+  HttpRequest request;
+  request.method = soup_server_message_get_method(message);
+  request.path = path;
+  if (query != nullptr) {
+    g_hash_table_foreach(query, CopyQuery, &request.query);
+  }
+  soup_message_headers_foreach(soup_server_message_get_request_headers(message),
+                               CopyHeader, &request.headers);
+  const SoupMessageBody* body = soup_server_message_get_request_body(message);
+  if (body != nullptr && body->data != nullptr) {
+    request.body.assign(body->data, static_cast<std::size_t>(body->length));
+  }
+  return request;
+}
+
+}  // namespace
+
+class HttpServer::Private {
+ public:
+  static void OnHeaders(SoupServer*, SoupServerMessage* message, const char*,
+                        GHashTable*, gpointer data) {
+    const auto* self = static_cast<Private*>(data);
+    SoupMessageHeaders* headers =
+        soup_server_message_get_request_headers(message);
+    const auto length = static_cast<std::size_t>(
+        soup_message_headers_get_content_length(headers));
+    const bool chunked =
+        soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED;
+    if (length <= self->max_body_bytes && !chunked) return;
+    soup_server_message_set_status(
+        message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+    soup_server_message_set_response(
+        message, "application/json", SOUP_MEMORY_COPY,
+        self->too_large_body.data(), self->too_large_body.size());
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(message), "Connection",
+        "close");
+  }
+
+  static void OnRequest(SoupServer*, SoupServerMessage* message,
+                        const char* path, GHashTable* query, gpointer data) {
+    auto* self = static_cast<Private*>(data);
+    const auto exchange = std::make_shared<Exchange>(message, self->open);
+    g_signal_connect_data(message, "finished", G_CALLBACK(OnFinished),
+                          new ExchangePointer(exchange), DeleteExchange,
+                          GConnectFlags{});
+    self->handler(
+        ReadRequest(message, path, query),
+        [exchange](const HttpReply& reply) { exchange->Respond(reply); });
+    exchange->PauseUntilAnswered();
+  }
+
+  std::size_t max_body_bytes = 0;
+  std::string too_large_body;
+  Handler handler;
+  SoupServer* server = nullptr;
+  std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
+};
+
+HttpServer::HttpServer(std::size_t max_body_bytes, std::string too_large_body,
+                       Handler handler)
+    : d(std::make_unique<Private>()) {
+  this->d->max_body_bytes = max_body_bytes;
+  this->d->too_large_body = std::move(too_large_body);
+  this->d->handler = std::move(handler);
+  this->d->server = soup_server_new("server-header", "hawthornwheel", nullptr);
+  soup_server_add_early_handler(this->d->server, nullptr, Private::OnHeaders,
+                                this->d.get(), nullptr);
+  soup_server_add_handler(this->d->server, nullptr, Private::OnRequest,
+                          this->d.get(), nullptr);
+}
+
+HttpServer::~HttpServer() {
+  soup_server_disconnect(this->d->server);
+  g_object_unref(this->d->server);
+}
+
+base::Result<std::uint16_t> HttpServer::Listen(const std::string& address) {
+  const auto parsed = base::ParseAddress(address);
+  if (!parsed) {
+    return Error(ErrorKind::kInvalidSettings,
+                 "'" + address + "' is not IP:port");
+  }
+  GSocketAddress* socket_address =
+      g_inet_socket_address_new_from_string(parsed->ip.c_str(), parsed->port);
+  GError* error = nullptr;
+  const bool listening =
+      soup_server_listen(this->d->server, socket_address,
+                         static_cast<SoupServerListenOptions>(0), &error);
+  g_object_unref(socket_address);
+  if (!listening) {
+    const std::string detail = error->message;
+    g_error_free(error);
+    return Error(ErrorKind::kInvalidSettings, address + ": " + detail);
+  }
+  GSList* uris = soup_server_get_uris(this->d->server);
+  const int port = g_uri_get_port(static_cast<GUri*>(uris->data));
+  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
+  return static_cast<std::uint16_t>(port);
+}
+
+void HttpServer::StopListening() {
+  GSList* listeners = soup_server_get_listeners(this->d->server);
+  for (GSList* item = listeners; item != nullptr; item = item->next) {
+    g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+  }
+  g_slist_free(listeners);
+}
+
+std::size_t HttpServer::OpenRequests() const { return *this->d->open; }
+
+}  // namespace hawthornwheel::http
--- /dev/null
+++ b/src/libs/operators/config_reader.cc
@@ -0,0 +1,45 @@
+#include "operators/config_reader.h"
+
+#include <memory>
+#include <optional>
+
+namespace hawthornwheel::operators {
+
+using base::Error;
+using base::ErrorKind;
+
+ConfigReader::ConfigReader(platform::LogClient& log, LoopRunner& runner)
+    : log(log), runner(runner), follower(this->fold) {}
+
+base::Result<bool> ConfigReader::CatchUp() {
+  while (true) {
+    const auto batch = this->ReadBatch();
+    if (!batch) return batch.GetError();
+    switch (this->follower.OnBatch(*batch)) {
+      case fleet::LogFollower::Progress::kMore:
+        break;
+      case fleet::LogFollower::Progress::kCaughtUp:
+        return true;
+      case fleet::LogFollower::Progress::kLost:
+        return Error(ErrorKind::kLogRecordsLost,
+                     "the log holds no whole checkpoint");
+    }
+  }
+}
+
+base::Result<platform::LogBatch> ConfigReader::ReadBatch() {
+  struct State {
+    bool done = false;
+    std::optional<base::Result<platform::LogBatch>> batch;
+  };
+  const auto state = std::make_shared<State>();
+  this->log.Read(this->follower.ReadOffset(),
+                 [state](base::Result<platform::LogBatch> batch) {
+                   state->batch = std::move(batch);
+                   state->done = true;
+                 });
+  this->runner.RunUntil(&state->done);
+  return *state->batch;
+}
+
+}  // namespace hawthornwheel::operators
--- /dev/null
+++ b/src/libs/operators/config_reader.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/result.h"
+#include "fleet/config_fold.h"
+#include "fleet/log_follower.h"
+#include "platform/log_client.h"
+
+namespace hawthornwheel::operators {
+
+/// Waits for the loop until a condition holds.
+class LoopRunner {
+ public:
+  virtual ~LoopRunner() = default;
+
+  /// Runs the loop until `*done` is true.
+  virtual void RunUntil(const bool* done) = 0;
+};
+
+/// Reads the whole log into a fold, as the dispatchers do.
+class ConfigReader {
+ public:
+  /// All references must outlive the reader.
+  ConfigReader(platform::LogClient& log, LoopRunner& runner);
+
+  /// Reads on to the end of the log. Fails when the log cannot be read or does
+  /// not hold enough to tell the configuration.
+  base::Result<bool> CatchUp();
+
+  const fleet::ConfigFold& Fold() const { return this->fold; }
+
+ private:
+  base::Result<platform::LogBatch> ReadBatch();
+
+  platform::LogClient& log;
+  LoopRunner& runner;
+  fleet::ConfigFold fold;
+  fleet::LogFollower follower;
+};
+
+}  // namespace hawthornwheel::operators
--- /dev/null
+++ b/src/libs/operators/service_folder.cc
@@ -0,0 +1,65 @@
+#include "operators/service_folder.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "fleet/service_config.h"
+
+namespace hawthornwheel::operators {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::vector<fs::path> FindFiles(const std::string& folder,
+                                std::vector<base::IniFault>& faults) {
+  std::vector<fs::path> paths;
+  std::error_code error;
+  fs::recursive_directory_iterator iterator(folder, error);
+  if (error) {
+    faults.push_back({folder, 1, "", "cannot be read: " + error.message()});
+    return paths;
+  }
+  for (const fs::directory_entry& entry : iterator) {
+    if (entry.path().extension() == ".ini") paths.push_back(entry.path());
+  }
+  std::sort(paths.begin(), paths.end());
+  if (paths.empty()) {
+    faults.push_back({folder, 1, "", "holds no service file (*.ini)"});
+  }
+  return paths;
+}
+
+}  // namespace
+
+ServiceFolder ReadServiceFolder(const std::string& folder) {
+  ServiceFolder result;
+  std::map<std::string, std::string> first_files;
+  for (const fs::path& path : FindFiles(folder, result.faults)) {
+    std::ifstream file(path);
+    if (!file) {
+      result.faults.push_back({path.string(), 1, "", "cannot be read"});
+      continue;
+    }
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    const fleet::ServiceConfigReading reading =
+        fleet::ReadServiceConfig(path.string(), text);
+    result.faults.insert(result.faults.end(), reading.faults.begin(),
+                         reading.faults.end());
+    if (!reading.config) continue;
+    const std::string& name = reading.config->name;
+    const auto [position, inserted] = first_files.emplace(name, path.string());
+    if (!inserted) {
+      result.faults.push_back(
+          {path.string(),
+           base::IniFile::Parse("", text).LineOf("service", "name"),
+           "service.name",
+           "'" + name + "' stands in " + position->second + " too"});
+      continue;
+    }
+    result.services[name] = text;
+  }
+  return result;
+}
+
+}  // namespace hawthornwheel::operators
--- /dev/null
+++ b/src/libs/peers/zmq_transport.cc
@@ -0,0 +1,183 @@
+#include "peers/zmq_transport.h"
+
+#include <glib.h>
+#include <zmq.h>
+
+#include <array>
+#include <map>
+#include <utility>
+
+#include "base/address.h"
+#include "base/metrics.h"
+
+namespace hawthornwheel::peers {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+constexpr int kQueueMessages = 10'000;
+constexpr int kLingerMs = 200;
+constexpr int kReconnectMs = 50;
+constexpr int kLongestReconnectMs = 2'000;
+constexpr std::int64_t kLargestMessageBytes = 64 << 20;
+// Messages taken in one turn of the loop, so that other sources get theirs.
+constexpr int kMessagesPerTurn = 256;
+// Sockets to peers that are not used are closed in the order of their age.
+constexpr std::size_t kMostPeerSockets = 512;
+
+}  // namespace
+
+class ZmqTransport::Private {
+ public:
+  struct ReceiveSource {
+    GSource source;
+    Private* owner;
+  };
+
+  explicit Private(base::Metrics& metrics)
+      : metrics(metrics), context(zmq_ctx_new()) {}
+
+  ~Private() {
+    if (this->source != nullptr) {
+      g_source_destroy(this->source);
+      g_source_unref(this->source);
+    }
+    for (auto& [address, socket] : this->outgoing) zmq_close(socket);
+    if (this->incoming != nullptr) zmq_close(this->incoming);
+    zmq_ctx_term(this->context);
+  }
+
+  // The descriptor signals only edges, so readiness is asked of ZMQ_EVENTS.
+  bool HasInput() const {
+    int events = 0;
+    std::size_t size = sizeof(events);
+    zmq_getsockopt(this->incoming, ZMQ_EVENTS, &events, &size);
+    return (events & ZMQ_POLLIN) != 0;
+  }
+
+  static gboolean Prepare(GSource* source, gint* timeout) {
+    *timeout = -1;
+    return reinterpret_cast<ReceiveSource*>(source)->owner->HasInput();
+  }
+
+  static gboolean Check(GSource* source) {
+    return reinterpret_cast<ReceiveSource*>(source)->owner->HasInput();
+  }
+
+  static gboolean Dispatch(GSource* source, GSourceFunc, gpointer) {
+    reinterpret_cast<ReceiveSource*>(source)->owner->ReceiveSome();
+    return G_SOURCE_CONTINUE;
+  }
+
+  void Attach() {
+    static GSourceFuncs functions = {Prepare, Check,   Dispatch,
+                                     nullptr, nullptr, nullptr};
+    this->source = g_source_new(&functions, sizeof(ReceiveSource));
+    reinterpret_cast<ReceiveSource*>(this->source)->owner = this;
+    int descriptor = -1;
+    std::size_t size = sizeof(descriptor);
+    zmq_getsockopt(this->incoming, ZMQ_FD, &descriptor, &size);
+    g_source_add_unix_fd(this->source, descriptor, G_IO_IN);
+    g_source_attach(this->source, nullptr);
+  }
+
+  void ReceiveSome() {
+    for (int i = 0; i < kMessagesPerTurn; ++i) {
+      zmq_msg_t message;
+      zmq_msg_init(&message);
+      const int size = zmq_msg_recv(&message, this->incoming, ZMQ_DONTWAIT);
+      if (size >= 0) this->Deliver(message);
+      zmq_msg_close(&message);
+      if (size < 0) return;
+    }
+  }
+
+  void Deliver(zmq_msg_t& message) {
+    wire::Envelope envelope;
+    const auto size = static_cast<int>(zmq_msg_size(&message));
+    if (!envelope.ParseFromArray(zmq_msg_data(&message), size)) {
+      this->metrics.Count("peer.unreadable");
+      return;
+    }
+    if (this->receiver) this->receiver(envelope);
+  }
+
+  void* SocketTo(const std::string& address) {
+    const auto found = this->outgoing.find(address);
+    if (found != this->outgoing.end()) return found->second;
+    if (this->outgoing.size() >= kMostPeerSockets) {
+      zmq_close(this->outgoing.begin()->second);
+      this->outgoing.erase(this->outgoing.begin());
+    }
+    void* socket = zmq_socket(this->context, ZMQ_PUSH);
+    SetOptions(socket);
+    const std::string uri = "tcp://" + address;
+    if (zmq_connect(socket, uri.c_str()) != 0) {
+      zmq_close(socket);
+      return nullptr;
+    }
+    this->outgoing[address] = socket;
+    return socket;
+  }
+
+  static void SetOptions(void* socket) {
+    zmq_setsockopt(socket, ZMQ_SNDHWM, &kQueueMessages, sizeof(int));
+    zmq_setsockopt(socket, ZMQ_RCVHWM, &kQueueMessages, sizeof(int));
+    zmq_setsockopt(socket, ZMQ_LINGER, &kLingerMs, sizeof(int));
+    zmq_setsockopt(socket, ZMQ_RECONNECT_IVL, &kReconnectMs, sizeof(int));
+    zmq_setsockopt(socket, ZMQ_RECONNECT_IVL_MAX, &kLongestReconnectMs,
+                   sizeof(int));
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &kLargestMessageBytes,
+                   sizeof(std::int64_t));
+  }
+
+  base::Metrics& metrics;
+  void* context;
+  void* incoming = nullptr;
+  GSource* source = nullptr;
+  std::map<std::string, void*> outgoing;
+  std::function<void(const wire::Envelope&)> receiver;
+};
+
+ZmqTransport::ZmqTransport(base::Metrics& metrics)
+    : d(std::make_unique<Private>(metrics)) {}
+
+ZmqTransport::~ZmqTransport() = default;
+
+base::Result<std::string> ZmqTransport::Bind(const std::string& address) {
+  const auto parsed = base::ParseAddress(address);
+  if (!parsed) {
+    return Error(ErrorKind::kInvalidSettings,
+                 "'" + address + "' is not IP:port");
+  }
+  this->d->incoming = zmq_socket(this->d->context, ZMQ_PULL);
+  Private::SetOptions(this->d->incoming);
+  const std::string uri =
+      "tcp://" + (parsed->port == 0 ? parsed->ip + ":*" : address);
+  if (zmq_bind(this->d->incoming, uri.c_str()) != 0) {
+    return Error(ErrorKind::kInvalidSettings,
+                 address + ": " + zmq_strerror(zmq_errno()));
+  }
+  std::array<char, 256> bound{};
+  std::size_t size = bound.size();
+  zmq_getsockopt(this->d->incoming, ZMQ_LAST_ENDPOINT, bound.data(), &size);
+  this->d->Attach();
+  const std::string text(bound.data());
+  return text.substr(text.find("//") + 2);
+}
+
+bool ZmqTransport::Send(const std::string& address,
+                        const wire::Envelope& envelope) {
+  void* socket = this->d->SocketTo(address);
+  if (socket == nullptr) return false;
+  const std::string bytes = envelope.SerializeAsString();
+  return zmq_send(socket, bytes.data(), bytes.size(), ZMQ_DONTWAIT) >= 0;
+}
+
+void ZmqTransport::SetReceiver(
+    std::function<void(const wire::Envelope&)> receiver) {
+  this->d->receiver = std::move(receiver);
+}
+
+}  // namespace hawthornwheel::peers
--- /dev/null
+++ b/tests/standins/endpoint_server.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "http/http_server.h"
+
+namespace hawthornwheel::standins {
+
+/// What all endpoints of one stand-in process count.
+struct EndpointCounts {
+  /// Starts by task id.
+  std::unordered_map<std::string, std::uint32_t> starts;
+  std::uint64_t completed = 0;
+  std::uint64_t stopped = 0;
+  std::uint64_t lapsed = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t renewals = 0;
+  std::uint32_t most_running = 0;
+
+  /// Tasks that started more than once.
+  std::uint64_t Duplicates() const;
+};
+
+/// Stand-in for one endpoint. A payload steers it: `run=MS`, `say=TEXT`,
+/// `fail=1`, `refuse=1`, `cross=1` (answers for another attempt), `hang=1`,
+/// parted by semicolons. It runs whatever it gets, without a limit of slots.
+class EndpointServer {
+ public:
+  /// References must outlive the server. Run times are multiplied by
+  /// `slowness`.
+  EndpointServer(base::Clock& clock, EndpointCounts& counts, double slowness);
+
+  /// Listens and returns the port.
+  base::Result<std::uint16_t> Listen(const std::string& address);
+
+  /// Refuses all tasks from now on, as an endpoint that leaves does.
+  void SetLeaving(bool leaving) { this->leaving = leaving; }
+
+  /// Fails all tasks at once.
+  void SetFailing(bool failing) { this->failing = failing; }
+
+  std::uint32_t Running() const {
+    return static_cast<std::uint32_t>(this->running.size());
+  }
+
+ private:
+  struct Run {
+    base::TimerId end_timer = 0;
+    base::TimerId lease_timer = 0;
+    http::HttpServer::Responder respond;
+  };
+
+  void Handle(const http::HttpRequest& request,
+              const http::HttpServer::Responder& respond);
+  void StartTask(const http::HttpRequest& request,
+                 const http::HttpServer::Responder& respond);
+  void EndTask(const std::string& attempt, http::HttpReply reply);
+  void StopTasks(const std::string& body);
+  void RenewTasks(const http::HttpRequest& request);
+  void SetLease(const std::string& attempt, Run& run, std::int64_t lease_ms);
+
+  base::Clock& clock;
+  EndpointCounts& counts;
+  double slowness;
+  bool leaving = false;
+  bool failing = false;
+  std::unordered_map<std::string, Run> running;
+  http::HttpServer server;
+};
+
+}  // namespace hawthornwheel::standins
