Random fault test of the decisions; answers name their recipient

Request numbers restart with each incarnation, so an answer to a dead process was taken by its successor at the same address as the answer to another request. Change: an answer carries the incarnation it is for, and any other drops it. Refused keys are sealed, so that a delayed copy cannot run after 'not run'. Ruled out: doubled delivery, which the pairing already drops.

--- a/src/libs/dispatch/dispatch_settings.cc
+++ b/src/libs/dispatch/dispatch_settings.cc
@@ -33,6 +33,9 @@
   settings.max_jobs = static_cast<std::uint64_t>(reader.Integer(
       "dispatch", "max_jobs", static_cast<std::int64_t>(settings.max_jobs), 1,
       kMostTasks));
+  settings.max_keys = static_cast<std::uint64_t>(reader.Integer(
+      "dispatch", "max_keys", static_cast<std::int64_t>(settings.max_keys),
+      1000, kMostTasks));
   settings.quarantine =
       reader.Time("dispatch", "quarantine", settings.quarantine,
                   milliseconds(100), minutes(5));
--- a/src/libs/dispatch/dispatch_settings.h
+++ b/src/libs/dispatch/dispatch_settings.h
@@ -25,6 +25,8 @@
   std::uint64_t max_queued_tasks = 200'000;
   /// Most jobs kept, ended ones that are retained included.
   std::uint64_t max_jobs = 200'000;
+  /// Most submission keys remembered, refused ones included.
+  std::uint64_t max_keys = 2'000'000;
   base::Duration quarantine{2'000'000};
   base::Duration drain_timeout{60'000'000};
   /// Time beyond the wait after which a forwarded call is given up.
--- a/src/libs/dispatch/job_controller.cc
+++ b/src/libs/dispatch/job_controller.cc
@@ -52,7 +52,7 @@
       metrics(metrics),
       settings(settings),
       registry(clock, std::move(home), settings.epoch_length,
-               settings.remembered_epochs),
+               settings.remembered_epochs, settings.max_keys),
       forget_timer(clock) {
   this->attempts.SetOutcomeListener(
       [this](JobId id, std::uint32_t task, const AttemptResult& result) {
@@ -98,36 +98,56 @@
     }
     key = *parsed;
   }
-  switch (this->registry.Check(key)) {
-    case KeyStanding::kFresh:
-      break;
-    case KeyStanding::kKnown:
-      this->AnswerKnown(key, FingerprintOf(request), wait, std::move(done));
-      return;
-    case KeyStanding::kExpired:
-      this->Refuse(request.key(), Error(ErrorKind::kKeyExpired, "", "key"),
-                   done);
-      return;
-    case KeyStanding::kForeign:
-      this->Refuse(request.key(),
-                   Error(ErrorKind::kKeyMalformed,
-                         "names an epoch that has not begun", "key"),
-                   done);
-      return;
+  const KeyStanding standing = this->registry.Check(key);
+  if (standing == KeyStanding::kKnown) {
+    this->AnswerKnown(key, FingerprintOf(request), wait, std::move(done));
+    return;
+  }
+  if (standing != KeyStanding::kFresh) {
+    this->RefuseStanding(key, standing, done);
+    return;
   }
   auto admitted = this->admission.Admit(request);
   if (!admitted) {
-    // The key is not remembered: nothing has run under it, and a later
-    // submission may be admitted.
-    this->Refuse(key_assigned ? "" : request.key(), admitted.GetError(), done);
+    // A copy of this submission may still be under way. Sealed, its key keeps
+    // the "not run" that the caller is told now true.
+    if (!key_assigned) {
+      this->registry.Seal(key, admitted.GetError().Kind());
+    }
+    this->Refuse(request.key(), admitted.GetError(), done);
     return;
   }
   Job& job = this->CreateJob(key, key_assigned, request, *admitted);
-  const JobId id = job.id;
   this->Wait(job, wait, std::move(done));
   this->metrics.Count("jobs.admitted");
   this->routing.Run();
-  static_cast<void>(id);
+}
+
+void JobController::RefuseStanding(const SubmissionKey& key,
+                                   KeyStanding standing,
+                                   const AnswerCallback& done) {
+  const std::string text = key.Format();
+  switch (standing) {
+    case KeyStanding::kSealed:
+      this->Refuse(text,
+                   Error(this->registry.SealReason(key),
+                         "the key was refused before", "key"),
+                   done);
+      return;
+    case KeyStanding::kForeign:
+      this->Refuse(text,
+                   Error(ErrorKind::kKeyExpired,
+                         "the key's epoch is not one of this process", "key"),
+                   done);
+      return;
+    case KeyStanding::kExpired:
+      this->Refuse(text, Error(ErrorKind::kKeyExpired, "", "key"), done);
+      return;
+    case KeyStanding::kFresh:
+    case KeyStanding::kKnown:
+      this->Refuse(text, Error(ErrorKind::kUnknownJob, "", "key"), done);
+      return;
+  }
 }
 
 Job& JobController::CreateJob(
@@ -200,26 +220,28 @@
     this->Refuse(text, Error(ErrorKind::kKeyMalformed, "", "key"), done);
     return;
   }
-  switch (this->registry.Check(*key)) {
-    case KeyStanding::kKnown:
-      this->AnswerKnown(*key, this->registry.Find(*key)->fingerprint, wait,
-                        std::move(done));
-      return;
-    case KeyStanding::kFresh:
-      this->Refuse(text, Error(ErrorKind::kUnknownJob, "", "key"), done);
-      return;
-    case KeyStanding::kExpired:
-      this->Refuse(text, Error(ErrorKind::kKeyExpired, "", "key"), done);
-      return;
-    case KeyStanding::kForeign:
-      this->Refuse(text, Error(ErrorKind::kKeyMalformed, "", "key"), done);
-      return;
+  const KeyStanding standing = this->registry.Check(*key);
+  if (standing == KeyStanding::kKnown) {
+    this->AnswerKnown(*key, this->registry.Find(*key)->fingerprint, wait,
+                      std::move(done));
+    return;
   }
+  this->RefuseStanding(*key, standing, done);
 }
 
 void JobController::Cancel(const std::string& text, AnswerCallback done) {
   const auto key = SubmissionKey::Parse(text);
-  if (key && this->registry.Check(*key) == KeyStanding::kKnown) {
+  if (!key) {
+    this->Refuse(text, Error(ErrorKind::kKeyMalformed, "", "key"), done);
+    return;
+  }
+  const KeyStanding standing = this->registry.Check(*key);
+  if (standing == KeyStanding::kFresh) {
+    this->registry.Seal(*key, ErrorKind::kCancelled);
+    this->Refuse(text, Error(ErrorKind::kCancelled, "", "key"), done);
+    return;
+  }
+  if (standing == KeyStanding::kKnown) {
     const auto found = this->board.jobs.find(this->registry.Find(*key)->job);
     if (found != this->board.jobs.end() && !found->second->ended) {
       this->Fail(*found->second, Error(ErrorKind::kCancelled, ""));
--- a/src/libs/dispatch/job_controller.h
+++ b/src/libs/dispatch/job_controller.h
@@ -60,6 +60,8 @@
                  std::shared_ptr<const fleet::ServiceConfig> service);
   void AnswerKnown(const SubmissionKey& key, std::uint64_t fingerprint,
                    base::Duration wait, AnswerCallback done);
+  void RefuseStanding(const SubmissionKey& key, KeyStanding standing,
+                      const AnswerCallback& done);
   void Wait(Job& job, base::Duration wait, AnswerCallback done);
   void OnWaitOver(JobId id, std::uint64_t waiter);
   void Refuse(const std::string& key, const base::Error& error,
--- a/src/libs/dispatch/key_registry.cc
+++ b/src/libs/dispatch/key_registry.cc
@@ -1,17 +1,27 @@
 #include "dispatch/key_registry.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <utility>
 
 namespace hawthornwheel::dispatch {
+namespace {
+
+std::uint64_t HashOf(const std::string& text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
+}  // namespace
 
 KeyRegistry::KeyRegistry(const base::Clock& clock, std::string home,
-                         base::Duration epoch_length, std::uint64_t epochs)
+                         base::Duration epoch_length, std::uint64_t epochs,
+                         std::size_t max_keys)
     : clock(clock),
       home(std::move(home)),
       epoch_length(epoch_length),
       epochs(epochs),
+      max_keys(max_keys),
       started_at(clock.Now()) {}
 
 std::string KeyRegistry::CurrentPrefix() const {
@@ -27,29 +37,66 @@
   this->ForgetOld();
   if (key.home != this->home) return KeyStanding::kForeign;
   if (key.epoch > this->CurrentEpoch()) return KeyStanding::kForeign;
-  if (key.epoch < this->OldestEpoch()) return KeyStanding::kExpired;
-  return this->Find(key) == nullptr ? KeyStanding::kFresh : KeyStanding::kKnown;
+  if (key.epoch < this->first_epoch) return KeyStanding::kExpired;
+  if (this->Find(key) != nullptr) return KeyStanding::kKnown;
+  const Epoch* epoch = this->FindEpoch(key.epoch);
+  const bool sealed = epoch != nullptr &&
+                      epoch->sealed.contains(HashOf(key.caller_part));
+  return sealed ? KeyStanding::kSealed : KeyStanding::kFresh;
 }
 
 const KeyRegistry::Entry* KeyRegistry::Find(const SubmissionKey& key) const {
-  if (key.home != this->home || key.epoch < this->first_epoch) return nullptr;
-  const std::uint64_t index = key.epoch - this->first_epoch;
-  if (index >= this->remembered.size()) return nullptr;
-  const Epoch& epoch = this->remembered[index];
-  const auto found = epoch.find(key.caller_part);
-  return found == epoch.end() ? nullptr : &found->second;
+  const Epoch* epoch = this->FindEpoch(key.epoch);
+  if (epoch == nullptr) return nullptr;
+  const auto found = epoch->entries.find(key.caller_part);
+  return found == epoch->entries.end() ? nullptr : &found->second;
 }
 
 void KeyRegistry::Remember(const SubmissionKey& key, Entry entry) {
-  const std::uint64_t index = key.epoch - this->first_epoch;
-  while (this->remembered.size() <= index) this->remembered.emplace_back();
-  this->remembered[index][key.caller_part] = entry;
+  this->MakeEpoch(key.epoch).entries[key.caller_part] = entry;
+  ++this->size;
+}
+
+void KeyRegistry::Seal(const SubmissionKey& key, base::ErrorKind reason) {
+  this->MakeEpoch(key.epoch).sealed.emplace(HashOf(key.caller_part), reason);
+  ++this->size;
 }
 
-std::size_t KeyRegistry::Size() const {
-  std::size_t size = 0;
-  for (const Epoch& epoch : this->remembered) size += epoch.size();
-  return size;
+base::ErrorKind KeyRegistry::SealReason(const SubmissionKey& key) const {
+  const Epoch* epoch = this->FindEpoch(key.epoch);
+  if (epoch == nullptr) return base::ErrorKind::kKeyExpired;
+  const auto found = epoch->sealed.find(HashOf(key.caller_part));
+  return found == epoch->sealed.end() ? base::ErrorKind::kKeyExpired
+                                      : found->second;
+}
+
+std::size_t KeyRegistry::Size() const { return this->size; }
+
+KeyRegistry::Epoch* KeyRegistry::FindEpoch(std::uint64_t number) {
+  if (number < this->first_epoch) return nullptr;
+  const std::uint64_t index = number - this->first_epoch;
+  return index < this->remembered.size() ? &this->remembered[index] : nullptr;
+}
+
+const KeyRegistry::Epoch* KeyRegistry::FindEpoch(std::uint64_t number) const {
+  return const_cast<KeyRegistry*>(this)->FindEpoch(number);
+}
+
+KeyRegistry::Epoch& KeyRegistry::MakeEpoch(std::uint64_t number) {
+  while (this->size >= this->max_keys && this->first_epoch < number) {
+    this->ForgetFirst();
+  }
+  while (this->FindEpoch(number) == nullptr) this->remembered.emplace_back();
+  return *this->FindEpoch(number);
+}
+
+void KeyRegistry::ForgetFirst() {
+  if (!this->remembered.empty()) {
+    const Epoch& first = this->remembered.front();
+    this->size -= first.entries.size() + first.sealed.size();
+    this->remembered.pop_front();
+  }
+  ++this->first_epoch;
 }
 
 std::uint64_t KeyRegistry::CurrentEpoch() const {
@@ -65,10 +112,7 @@
 
 void KeyRegistry::ForgetOld() {
   const std::uint64_t oldest = this->OldestEpoch();
-  while (this->first_epoch < oldest) {
-    if (!this->remembered.empty()) this->remembered.pop_front();
-    ++this->first_epoch;
-  }
+  while (this->first_epoch < oldest) this->ForgetFirst();
 }
 
 }  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/key_registry.h
+++ b/src/libs/dispatch/key_registry.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "base/clock.h"
+#include "base/error_kind.h"
 #include "dispatch/submission_key.h"
 
 namespace hawthornwheel::dispatch {
@@ -21,12 +22,16 @@
   kKnown,
   /// Of an epoch that is no longer remembered.
   kExpired,
+  /// Refused before it was admitted, and never to be admitted.
+  kSealed,
   /// Of another home, or of an epoch that has not begun.
   kForeign,
 };
 
 /// Remembers the submission keys of the latest epochs of this incarnation, so
-/// that no key is admitted twice. Memory is bounded by the number of epochs.
+/// that no key is admitted twice, and none after it was refused. Memory is
+/// bounded by the number of epochs and of keys: above `max_keys` the oldest
+/// epoch is forgotten early, which makes its keys expired.
 class KeyRegistry {
  public:
   /// A key that was admitted.
@@ -38,7 +43,8 @@
   /// `clock` must outlive the registry. Keys are remembered for `epochs` whole
   /// epochs beside the current one.
   KeyRegistry(const base::Clock& clock, std::string home,
-              base::Duration epoch_length, std::uint64_t epochs);
+              base::Duration epoch_length, std::uint64_t epochs,
+              std::size_t max_keys);
 
   /// `home/epoch/` of the current epoch.
   std::string CurrentPrefix() const;
@@ -55,12 +61,28 @@
   /// Remembers a fresh key.
   void Remember(const SubmissionKey& key, Entry entry);
 
-  /// Number of keys remembered.
+  /// Seals a fresh key: it will never be admitted. `reason` is what the caller
+  /// was told.
+  void Seal(const SubmissionKey& key, base::ErrorKind reason);
+
+  /// Reason of a sealed key.
+  base::ErrorKind SealReason(const SubmissionKey& key) const;
+
+  /// Number of keys remembered, sealed ones included.
   std::size_t Size() const;
 
  private:
-  using Epoch = std::unordered_map<std::string, Entry>;
+  struct Epoch {
+    std::unordered_map<std::string, Entry> entries;
+    /// By hash of the caller's part. A collision seals a key that was not
+    /// refused, which is safe: it is then refused and does not run.
+    std::unordered_map<std::uint64_t, base::ErrorKind> sealed;
+  };
 
+  Epoch* FindEpoch(std::uint64_t number);
+  const Epoch* FindEpoch(std::uint64_t number) const;
+  Epoch& MakeEpoch(std::uint64_t number);
+  void ForgetFirst();
   std::uint64_t CurrentEpoch() const;
   std::uint64_t OldestEpoch() const;
   void ForgetOld();
@@ -69,6 +91,8 @@
   std::string home;
   base::Duration epoch_length;
   std::uint64_t epochs;
+  std::size_t max_keys;
+  std::size_t size = 0;
   base::TimePoint started_at;
   std::uint64_t minted = 0;
   /// Oldest epoch in `remembered`.
--- a/src/libs/fleet/peer_messenger.cc
+++ b/src/libs/fleet/peer_messenger.cc
@@ -69,6 +69,7 @@
 void PeerMessenger::Reply(const wire::Envelope& request,
                           wire::Envelope answer) {
   answer.set_correlation(request.correlation());
+  answer.set_recipient(request.sender());
   this->Send(request.sender_address(), answer);
 }
 
@@ -86,6 +87,10 @@
     return;
   }
   if (IsAnswer(envelope)) {
+    if (envelope.recipient() != this->incarnation) {
+      this->metrics.Count("peer.crossed_answers");
+      return;
+    }
     this->Settle(envelope.correlation(), envelope);
     return;
   }
@@ -101,6 +106,7 @@
                            const std::string& reason) {
   this->metrics.Count("peer.refused");
   if (envelope.has_refusal()) {
+    if (envelope.recipient() != this->incarnation) return;
     kLog.Warning("A peer refused an envelope. sender={} reason=\"{}\"",
                  envelope.sender_address(), envelope.refusal().reason());
     this->Settle(envelope.correlation(),
--- /dev/null
+++ b/tests/dispatch/fault_scenario.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/config_fold.h"
+#include "support/fake_endpoints.h"
+#include "support/fake_network.h"
+#include "support/fake_platform.h"
+#include "support/manual_clock.h"
+#include "support/random.h"
+#include "support/test_process.h"
+#include "wire/caller.pb.h"
+
+namespace hawthornwheel::testing {
+
+/// What a scenario went through, so that a test can tell that it was not empty.
+struct ScenarioCounts {
+  std::uint64_t jobs = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t may_have_run = 0;
+  std::uint64_t resubmissions = 0;
+  std::uint64_t kills = 0;
+  std::uint64_t pauses = 0;
+  std::uint64_t cuts = 0;
+  std::uint64_t outages = 0;
+  std::uint64_t config_changes = 0;
+  std::uint64_t config_conflicts = 0;
+};
+
+/// A random run of several dispatchers over fakes that drop, delay, double,
+/// reorder and cut, with kills, pauses, restarts and outages of the platform.
+/// The same seed gives the same run.
+class FaultScenario {
+ public:
+  explicit FaultScenario(std::uint64_t seed);
+  ~FaultScenario();
+
+  /// Runs to the end and returns every promise that was broken.
+  std::vector<std::string> Run();
+
+  const ScenarioCounts& Counts() const { return this->counts; }
+
+ private:
+  struct Vm {
+    std::string name;
+    std::string domain;
+    std::string address;
+    int restarts = 0;
+    std::unique_ptr<TestProcess> process;
+  };
+
+  struct Submission {
+    wire::SubmitRequest request;
+    std::vector<wire::JobAnswer> answers;
+  };
+
+  void StartVm(Vm& vm);
+  Vm& RandomVm();
+  void PublishFirst();
+  void Publish(const std::string& service, std::uint64_t base_generation);
+  std::string ServiceText(const std::string& service) const;
+
+  void SubmitSome();
+  void Deliver(const std::string& key, const wire::SubmitRequest& request);
+  void Cancel(const std::string& key);
+  void Query(const std::string& key);
+  void TakeAnswer(const std::string& key, const wire::JobAnswer& answer);
+
+  void InjectFault();
+  void Kill();
+  void Pause();
+  void CutNetwork();
+  void DisturbNetwork();
+  void DisturbPlatform();
+  void DisturbEndpoint();
+  void RaceOperators();
+  void HealAll();
+  void Expire();
+
+  void CheckReverts();
+  void CheckSubmissions();
+  void CheckConvergence();
+  void Broke(const std::string& what);
+  void After(base::Duration delay, std::function<void()> callback);
+
+  ManualClock clock;
+  Random random;
+  FakeNetwork network;
+  FakePlatform platform;
+  FakeEndpoints endpoints;
+  TestWorld world;
+  fleet::FleetSettings fleet_settings;
+  dispatch::DispatchSettings dispatch_settings;
+  std::vector<Vm> vms;
+  std::map<std::string, Submission> submissions;
+  /// Highest generation seen in force, by incarnation and service.
+  std::map<std::string, std::map<std::string, std::uint64_t>> in_force;
+  fleet::ConfigFold reference;
+  std::uint64_t last_record = 0;
+  std::uint64_t last_job = 0;
+  ScenarioCounts counts;
+  std::vector<std::string> broken;
+};
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/dispatch/fault_scenario_test.cc
@@ -0,0 +1,64 @@
+#include "dispatch/fault_scenario.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "base/logger.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::stoull(text);
+}
+
+// Seeds of one shard; FAULT_FIRST_SEED and FAULT_SEEDS choose others by hand.
+class FaultScenarioTest : public ::testing::TestWithParam<int> {};
+
+constexpr int kShards = 10;
+constexpr std::uint64_t kSeedsPerShard = 100;
+
+TEST_P(FaultScenarioTest, KeepsEveryPromise) {
+  base::SetLogLevel(base::LogLevel::kError);
+  const std::uint64_t seeds = FromEnvironment("FAULT_SEEDS", kSeedsPerShard);
+  const std::uint64_t first =
+      FromEnvironment("FAULT_FIRST_SEED", 1) +
+      static_cast<std::uint64_t>(GetParam()) * seeds;
+  ScenarioCounts total;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    FaultScenario scenario(seed);
+    const std::vector<std::string> broken = scenario.Run();
+    for (const std::string& what : broken) {
+      ADD_FAILURE() << "seed " << seed << ": " << what;
+    }
+    const ScenarioCounts& counts = scenario.Counts();
+    total.jobs += counts.jobs;
+    total.completed += counts.completed;
+    total.not_run += counts.not_run;
+    total.may_have_run += counts.may_have_run;
+    total.kills += counts.kills;
+    total.pauses += counts.pauses;
+    total.config_conflicts += counts.config_conflicts;
+    total.resubmissions += counts.resubmissions;
+    if (HasFailure()) break;
+  }
+  fmt::print(
+      "jobs={} completed={} not_run={} may_have_run={} resubmissions={} "
+      "kills={} pauses={} conflicts={}\n",
+      total.jobs, total.completed, total.not_run, total.may_have_run,
+      total.resubmissions, total.kills, total.pauses, total.config_conflicts);
+  // A run in which nothing happened would show nothing.
+  EXPECT_GT(total.completed, total.jobs / 4);
+  EXPECT_GT(total.not_run, 0U);
+  EXPECT_GT(total.may_have_run, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Shards, FaultScenarioTest,
+                         ::testing::Range(0, kShards));
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/fake_network.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/clock.h"
+#include "fleet/peer_transport.h"
+#include "support/process_clock.h"
+#include "support/random.h"
+
+namespace hawthornwheel::testing {
+
+/// Network between the processes of a test, that can drop, delay, double,
+/// reorder and cut.
+class FakeNetwork {
+ public:
+  /// References must outlive the network.
+  FakeNetwork(base::Clock& clock, Random& random);
+
+  /// Registers the process that takes mail for `address` in `domain`.
+  void Attach(const std::string& address, const std::string& domain,
+              ProcessClock& clock,
+              std::function<void(const wire::Envelope&)> receiver);
+  void Detach(const std::string& address);
+
+  void Send(const std::string& from, const std::string& to,
+            const wire::Envelope& envelope);
+
+  /// Cuts or heals the way from one failure domain to another.
+  void Cut(const std::string& from_domain, const std::string& to_domain);
+  void HealAll();
+
+  /// Shares of messages that are lost or doubled, and the longest delay.
+  void SetFaults(double lost, double doubled, base::Duration longest_delay);
+
+ private:
+  struct Station {
+    std::string domain;
+    ProcessClock* clock = nullptr;
+    std::function<void(const wire::Envelope&)> receiver;
+  };
+
+  void Deliver(const std::string& to, const wire::Envelope& envelope);
+  base::Duration Delay();
+
+  base::Clock& clock;
+  Random& random;
+  std::map<std::string, Station> stations;
+  std::map<std::string, std::string> domains;
+  std::set<std::pair<std::string, std::string>> cuts;
+  double lost = 0;
+  double doubled = 0;
+  base::Duration longest_delay{2000};
+};
+
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/fake_platform.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "platform/log_client.h"
+#include "platform/vm_list_client.h"
+#include "standins/memory_log.h"
+#include "support/process_clock.h"
+#include "support/random.h"
+
+namespace hawthornwheel::testing {
+
+/// The platform of a test, shared by its processes.
+struct FakePlatform {
+  standins::MemoryLog log;
+  wire::VmList vms;
+  /// Appends and reads fail.
+  bool down = false;
+  /// Share of appends that take effect and are not answered.
+  double lost_answers = 0;
+  base::Duration longest_delay{5000};
+  /// Failure domains that cannot reach the platform.
+  std::set<std::string> cut_domains;
+};
+
+/// Client of one process to the platform of the test.
+class FakePlatformClient final : public platform::LogClient,
+                                 public platform::VmListClient {
+ public:
+  /// References must outlive the client.
+  FakePlatformClient(FakePlatform& platform, base::Clock& shared,
+                     ProcessClock& process, Random& random, std::string domain);
+
+  void Append(const wire::LogRecord& record,
+              std::function<void(base::Result<std::uint64_t>)> done) override;
+  void Read(std::uint64_t offset,
+            std::function<void(base::Result<platform::LogBatch>)> done)
+      override;
+  void Fetch(std::uint64_t known_version,
+             std::function<void(base::Result<wire::VmList>)> done) override;
+
+ private:
+  bool IsReachable() const;
+  void Later(std::function<void()> callback);
+
+  FakePlatform& platform;
+  base::Clock& shared;
+  ProcessClock& process;
+  Random& random;
+  std::string domain;
+};
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/manual_clock.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace hawthornwheel::testing {
+
+/// Clock that stands still until a test advances it.
+class ManualClock final : public base::Clock {
+ public:
+  base::TimePoint Now() const override { return this->now; }
+  std::int64_t WallMilliseconds() const override;
+  base::TimerId StartTimer(base::Duration delay,
+                           std::function<void()> callback) override;
+  void CancelTimer(base::TimerId id) override;
+
+  /// Advances by `span` and runs what falls due, in order.
+  void Advance(base::Duration span);
+
+  /// Timers that wait.
+  std::size_t PendingTimers() const { return this->queue.size(); }
+
+ private:
+  using Deadline = std::pair<base::TimePoint, base::TimerId>;
+
+  base::TimePoint now{base::Duration{1'000'000'000}};
+  base::TimerId next_id = 1;
+  std::map<Deadline, std::function<void()>> queue;
+  std::unordered_map<base::TimerId, base::TimePoint> deadlines;
+};
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/process_clock.cc
@@ -0,0 +1,64 @@
+#include "support/process_clock.h"
+
+#include <utility>
+
+namespace hawthornwheel::testing {
+
+ProcessClock::ProcessClock(base::Clock& shared)
+    : shared(shared), state(std::make_shared<State>()) {}
+
+ProcessClock::~ProcessClock() { this->state->alive = false; }
+
+base::TimerId ProcessClock::StartTimer(base::Duration delay,
+                                       std::function<void()> callback) {
+  const base::TimerId id = this->next_id++;
+  // A timer that was cancelled while it was held back must not run.
+  auto run = [this, id, callback = std::move(callback)] {
+    if (this->shared_ids.erase(id) > 0) callback();
+  };
+  this->shared_ids[id] =
+      this->shared.StartTimer(delay, this->Guard(std::move(run)));
+  return id;
+}
+
+void ProcessClock::CancelTimer(base::TimerId id) {
+  const auto found = this->shared_ids.find(id);
+  if (found == this->shared_ids.end()) return;
+  this->shared.CancelTimer(found->second);
+  this->shared_ids.erase(found);
+}
+
+void ProcessClock::State::Run(std::function<void()> callback) {
+  if (!this->alive) return;
+  if (this->paused) {
+    this->held.push_back(std::move(callback));
+    return;
+  }
+  callback();
+}
+
+std::function<void()> ProcessClock::Guard(std::function<void()> callback) {
+  return [state = this->state, callback = std::move(callback)] {
+    state->Run(callback);
+  };
+}
+
+ProcessClock::Runner ProcessClock::GetRunner() const {
+  return [state = this->state](std::function<void()> callback) {
+    state->Run(std::move(callback));
+  };
+}
+
+void ProcessClock::Pause() { this->state->paused = true; }
+
+void ProcessClock::Resume() {
+  const std::shared_ptr<State> state = this->state;
+  state->paused = false;
+  const auto held = std::move(state->held);
+  state->held.clear();
+  for (const auto& callback : held) {
+    if (state->alive) callback();
+  }
+}
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/process_clock.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace hawthornwheel::testing {
+
+/// Clock of one process of a test: the process can be paused, which holds back
+/// all that would run in it, and killed, which drops it.
+class ProcessClock final : public base::Clock {
+ public:
+  /// `shared` must outlive the clock.
+  explicit ProcessClock(base::Clock& shared);
+  ~ProcessClock() override;
+
+  base::TimePoint Now() const override { return this->shared.Now(); }
+  std::int64_t WallMilliseconds() const override {
+    return this->shared.WallMilliseconds();
+  }
+  base::TimerId StartTimer(base::Duration delay,
+                           std::function<void()> callback) override;
+  void CancelTimer(base::TimerId id) override;
+
+  /// Function that runs `callback` in this process: now, after a pause, or not
+  /// at all when the process is gone by then.
+  std::function<void()> Guard(std::function<void()> callback);
+
+  /// Runs callbacks in a process as Guard() does; may outlive this clock.
+  using Runner = std::function<void(std::function<void()>)>;
+  Runner GetRunner() const;
+
+  void Pause();
+  void Resume();
+  bool IsPaused() const { return this->state->paused; }
+
+ private:
+  struct State {
+    void Run(std::function<void()> callback);
+
+    bool alive = true;
+    bool paused = false;
+    std::vector<std::function<void()>> held;
+  };
+
+  base::Clock& shared;
+  std::shared_ptr<State> state;
+  base::TimerId next_id = 1;
+  std::map<base::TimerId, base::TimerId> shared_ids;
+};
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/test_process.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/metrics.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/fastest_selector.h"
+#include "support/fake_endpoint_client.h"
+#include "support/fake_network.h"
+#include "support/fake_platform.h"
+#include "support/fake_transport.h"
+#include "support/process_clock.h"
+#include "support/random.h"
+
+namespace hawthornwheel::testing {
+
+/// What the processes of a test share.
+struct TestWorld {
+  base::Clock& clock;
+  Random& random;
+  FakeNetwork& network;
+  FakePlatform& platform;
+  FakeEndpoints& endpoints;
+};
+
+/// The decisions of one dispatcher process over fakes.
+class TestProcess {
+ public:
+  /// `world` must outlive the process.
+  TestProcess(const TestWorld& world, const std::string& incarnation,
+              const std::string& domain, const std::string& address,
+              const fleet::FleetSettings& fleet_settings,
+              const dispatch::DispatchSettings& dispatch_settings);
+
+  ProcessClock clock;
+  base::Metrics metrics;
+  std::string incarnation;
+  std::string domain;
+  FakeTransport transport;
+  FakePlatformClient platform;
+  FakeEndpointClient endpoints;
+  dispatch::FastestSelector selector;
+  dispatch::Dispatcher dispatcher;
+};
+
+}  // namespace hawthornwheel::testing
