Contract tests for callers, endpoints, platform and peers

Cause: the contracts were only exercised by the demo. Change: tables of faults for four interfaces against stand-ins and a raw TCP server. A crash was found: answers that came after a client's end used freed memory; calls now carry whether their client still lives. Before: caller contract test crashed in its seventh case. After: 81 cases pass, among them that libsoup's resend on a closed kept connection is prevented.

--- a/src/libs/endpoints/http_endpoint_client.cc
+++ b/src/libs/endpoints/http_endpoint_client.cc
@@ -66,6 +66,8 @@
     GCancellable* cancellable = nullptr;
     std::function<void(AttemptResult)> done;
     bool starting = false;
+    /// False once the owner is gone.
+    std::shared_ptr<bool> alive;
   };
 
   /// Control messages of one endpoint: one at a time is on the wire.
@@ -79,6 +81,7 @@
     std::string endpoint;
     SoupMessage* message = nullptr;
     std::function<void(bool)> done;
+    std::shared_ptr<bool> alive;
   };
 
   explicit Private(base::Metrics& metrics) : metrics(metrics) {}
@@ -89,7 +92,9 @@
 
   static void OnRestarted(SoupMessage*, gpointer data) {
     auto* exchange = static_cast<Exchange*>(data);
-    exchange->owner->metrics.Count("endpoints.resends_prevented");
+    if (*exchange->alive) {
+      exchange->owner->metrics.Count("endpoints.resends_prevented");
+    }
     g_cancellable_cancel(exchange->cancellable);
   }
 
@@ -98,9 +103,9 @@
     GError* error = nullptr;
     GBytes* bytes =
         soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
-    exchange->owner->open.erase(exchange->attempt_id);
-    if (exchange->done) {
-      exchange->done(Interpret(*exchange, bytes, error));
+    if (*exchange->alive) {
+      exchange->owner->open.erase(exchange->attempt_id);
+      if (exchange->done) exchange->done(Interpret(*exchange, bytes, error));
     }
     if (bytes != nullptr) g_bytes_unref(bytes);
     if (error != nullptr) g_error_free(error);
@@ -154,7 +159,8 @@
     }
     SetBody(message, body);
     this->metrics.Count("endpoints.control_messages");
-    auto* call = new ControlCall{this, endpoint, message, std::move(done)};
+    auto* call =
+        new ControlCall{this, endpoint, message, std::move(done), this->alive};
     soup_session_send_and_read_async(this->control_session, message,
                                      G_PRIORITY_DEFAULT, nullptr, OnControlSent,
                                      call);
@@ -169,7 +175,7 @@
                        soup_message_get_status(call->message) == SOUP_STATUS_OK;
     if (bytes != nullptr) g_bytes_unref(bytes);
     g_object_unref(call->message);
-    call->done(taken);
+    if (*call->alive) call->done(taken);
   }
 
   void SendStops(const std::string& endpoint) {
@@ -194,6 +200,7 @@
   SoupSession* control_session = nullptr;
   std::unordered_map<std::string, Exchange*> open;
   std::unordered_map<std::string, Control> controls;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 HttpEndpointClient::HttpEndpointClient(base::Metrics& metrics)
@@ -210,7 +217,7 @@
 }
 
 HttpEndpointClient::~HttpEndpointClient() {
-  for (auto& [id, exchange] : this->d->open) exchange->done = nullptr;
+  *this->d->alive = false;
   soup_session_abort(this->d->session);
   soup_session_abort(this->d->control_session);
   g_object_unref(this->d->session);
@@ -226,6 +233,7 @@
   exchange->message = soup_message_new("POST", uri.c_str());
   exchange->cancellable = g_cancellable_new();
   exchange->done = std::move(done);
+  exchange->alive = this->d->alive;
   // Marked idempotent, the library keeps connections for POST; it would also
   // resend, which the handler of `restarted` prevents.
   soup_message_add_flags(exchange->message, SOUP_MESSAGE_IDEMPOTENT);
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -112,6 +112,14 @@
   drain.Begin(this->d->on_stopped);
 }
 
+std::string Node::CallerAddress() const {
+  return this->d->dispatcher->GetFleetBoard().self.caller_address();
+}
+
+std::string Node::AdminAddress() const {
+  return this->d->dispatcher->GetFleetBoard().self.admin_address();
+}
+
 std::string Node::Dump() const {
   return admin::DumpState(*this->d->dispatcher, this->d->metrics);
 }
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -21,6 +21,10 @@
   /// Begins a planned stop; a second call ends at once what is left.
   void Stop();
 
+  /// Addresses with the ports that the kernel chose; valid after Start().
+  std::string CallerAddress() const;
+  std::string AdminAddress() const;
+
   /// State of the process as JSON.
   std::string Dump() const;
 
--- a/src/libs/platform/http_platform_client.cc
+++ b/src/libs/platform/http_platform_client.cc
@@ -20,6 +20,8 @@
 struct Call {
   SoupMessage* message;
   BodyHandler done;
+  /// False once the client is gone; then nobody waits for the answer.
+  std::shared_ptr<bool> alive;
 };
 
 void FinishCall(GObject* source, GAsyncResult* result, gpointer data) {
@@ -29,6 +31,11 @@
       soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
   const guint status = soup_message_get_status(call->message);
   g_object_unref(call->message);
+  if (!*call->alive) {
+    if (bytes != nullptr) g_bytes_unref(bytes);
+    g_clear_error(&error);
+    return;
+  }
   if (bytes == nullptr) {
     const std::string detail = error->message;
     g_error_free(error);
@@ -76,14 +83,15 @@
                                                "application/x-protobuf", bytes);
       g_bytes_unref(bytes);
     }
-    soup_session_send_and_read_async(this->session, message, G_PRIORITY_DEFAULT,
-                                     this->cancellable, FinishCall,
-                                     new Call{message, std::move(done)});
+    soup_session_send_and_read_async(
+        this->session, message, G_PRIORITY_DEFAULT, this->cancellable,
+        FinishCall, new Call{message, std::move(done), this->alive});
   }
 
   std::string address;
   SoupSession* session = nullptr;
   GCancellable* cancellable = nullptr;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 HttpPlatformClient::HttpPlatformClient(std::string address,
@@ -99,6 +107,7 @@
 }
 
 HttpPlatformClient::~HttpPlatformClient() {
+  *this->d->alive = false;
   soup_session_abort(this->d->session);
   g_object_unref(this->d->session);
   g_object_unref(this->d->cancellable);
--- /dev/null
+++ b/tests/contract/endpoint_contract_test.cc
@@ -0,0 +1,270 @@
+// Contract of the endpoint interface, with its faults in tables.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/glib_clock.h"
+#include "base/metrics.h"
+#include "endpoints/http_endpoint_client.h"
+#include "standins/endpoint_server.h"
+#include "support/loop.h"
+#include "support/raw_server.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using dispatch::AttemptOutcome;
+using dispatch::AttemptResult;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+dispatch::TaskCall MakeCall(const std::string& endpoint,
+                            const std::string& payload,
+                            const std::string& attempt = "home.1") {
+  dispatch::TaskCall call;
+  call.endpoint = endpoint;
+  call.attempt_id = attempt;
+  call.task_id = "home/1/key#0";
+  call.service = "booking";
+  call.lease = seconds(5);
+  call.time_left = seconds(5);
+  call.payload = payload;
+  return call;
+}
+
+AttemptResult RunAttempt(endpoints::HttpEndpointClient& client,
+                         const dispatch::TaskCall& call) {
+  std::optional<AttemptResult> outcome;
+  client.Start(call, [&outcome](AttemptResult result) { outcome = result; });
+  RunLoopUntil([&outcome] { return outcome.has_value(); });
+  return outcome.value_or(AttemptResult{AttemptOutcome::kUnknown, "no answer"});
+}
+
+struct PayloadCase {
+  const char* name;
+  const char* payload;
+  bool leaving;
+  AttemptOutcome outcome;
+  const char* content;
+  std::uint32_t starts;
+};
+
+class EndpointPayloadTest : public ::testing::TestWithParam<PayloadCase> {};
+
+TEST_P(EndpointPayloadTest, TellsOutcomesApart) {
+  const PayloadCase& row = GetParam();
+  base::GlibClock clock;
+  base::Metrics metrics;
+  standins::EndpointCounts counts;
+  standins::EndpointServer server(clock, counts, 1);
+  server.SetLeaving(row.leaving);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(*server.Listen("127.0.0.1:0"));
+  endpoints::HttpEndpointClient client(metrics);
+  const AttemptResult result =
+      RunAttempt(client, MakeCall(address, row.payload));
+  EXPECT_EQ(dispatch::AttemptOutcomeName(result.outcome),
+            dispatch::AttemptOutcomeName(row.outcome));
+  EXPECT_EQ(result.content, row.content);
+  EXPECT_EQ(counts.starts["home/1/key#0"], row.starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Payloads, EndpointPayloadTest,
+    ::testing::Values(PayloadCase{"Result", "run=1;say=yes", false,
+                                  AttemptOutcome::kCompleted, "yes", 1},
+                      PayloadCase{"EmptyResult", "run=1", false,
+                                  AttemptOutcome::kCompleted, "", 1},
+                      PayloadCase{"Failure", "fail=1", false,
+                                  AttemptOutcome::kFailed, "failed", 1},
+                      PayloadCase{"Refusal", "refuse=1", false,
+                                  AttemptOutcome::kRefused, "refused", 0},
+                      PayloadCase{"RefusalOfALeavingEndpoint", "run=1", true,
+                                  AttemptOutcome::kRefusedLeaving, "refused",
+                                  0},
+                      PayloadCase{"CrossedAnswer", "run=1;cross=1;say=no",
+                                  false, AttemptOutcome::kUnknown,
+                                  "the answer is for another attempt", 1}),
+    [](const auto& info) { return info.param.name; });
+
+constexpr char kGoodAnswer[] =
+    "HTTP/1.1 200 OK\r\nHawthornwheel-Attempt: home.1\r\n"
+    "Content-Length: 2\r\n\r\nok";
+
+struct WireCase {
+  const char* name;
+  /// Reaction to the last request; the ones before get a good answer.
+  const char* bytes;
+  bool close;
+  /// Attempts made one after the other on the same client.
+  int attempts;
+  AttemptOutcome outcome;
+};
+
+class EndpointWireTest : public ::testing::TestWithParam<WireCase> {};
+
+TEST_P(EndpointWireTest, SendsEachAttemptOnce) {
+  const WireCase& row = GetParam();
+  RawServer server([&row](const std::string&, int number) {
+    if (number < row.attempts) return RawReaction{kGoodAnswer, false};
+    return RawReaction{row.bytes, row.close};
+  });
+  base::Metrics metrics;
+  endpoints::HttpEndpointClient client(metrics);
+  AttemptResult result;
+  for (int i = 0; i < row.attempts; ++i) {
+    result = RunAttempt(client, MakeCall(server.Address(), "x"));
+  }
+  EXPECT_EQ(dispatch::AttemptOutcomeName(result.outcome),
+            dispatch::AttemptOutcomeName(row.outcome))
+      << result.content;
+  RunLoopFor(50);
+  EXPECT_EQ(server.Requests(), row.attempts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Wire, EndpointWireTest,
+    ::testing::Values(
+        WireCase{"ClosedBeforeTheAnswer", "", true, 1,
+                 AttemptOutcome::kUnknown},
+        WireCase{"ReusedConnectionClosedBeforeTheAnswer", "", true, 2,
+                 AttemptOutcome::kUnknown},
+        WireCase{"ClosedWithinTheHeaders", "HTTP/1.1 200 OK\r\nHawth", true, 1,
+                 AttemptOutcome::kUnknown},
+        WireCase{"ClosedWithinTheBody",
+                 "HTTP/1.1 200 OK\r\nHawthornwheel-Attempt: home.1\r\n"
+                 "Content-Length: 10\r\n\r\nhalf",
+                 true, 1, AttemptOutcome::kUnknown},
+        WireCase{"NotHttp", "hello\r\n\r\n", true, 1, AttemptOutcome::kUnknown},
+        WireCase{"UnknownStatus",
+                 "HTTP/1.1 500 Oops\r\nHawthornwheel-Attempt: home.1\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 false, 1, AttemptOutcome::kUnknown},
+        WireCase{"Redirect",
+                 "HTTP/1.1 307 Elsewhere\r\nLocation: /other\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 false, 1, AttemptOutcome::kUnknown},
+        WireCase{"NoAttemptNamed",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, 1,
+                 AttemptOutcome::kUnknown},
+        WireCase{"ReusedConnection", kGoodAnswer, false, 3,
+                 AttemptOutcome::kCompleted}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(EndpointContractTest, KeepsConnections) {
+  RawServer server([](const std::string&, int) {
+    return RawReaction{kGoodAnswer, false};
+  });
+  base::Metrics metrics;
+  endpoints::HttpEndpointClient client(metrics);
+  for (int i = 0; i < 5; ++i) {
+    RunAttempt(client, MakeCall(server.Address(), "x"));
+  }
+  EXPECT_EQ(server.Connections(), 1);
+}
+
+TEST(EndpointContractTest, ARefusedConnectionIsNotSent) {
+  std::string address;
+  {
+    RawServer server([](const std::string&, int) {
+      return RawReaction{"", true};
+    });
+    address = server.Address();
+  }
+  base::Metrics metrics;
+  endpoints::HttpEndpointClient client(metrics);
+  const AttemptResult result = RunAttempt(client, MakeCall(address, "x"));
+  EXPECT_EQ(dispatch::AttemptOutcomeName(result.outcome), "not_sent");
+}
+
+TEST(EndpointContractTest, StopEndsTheTaskAndSilencesTheAttempt) {
+  base::GlibClock clock;
+  base::Metrics metrics;
+  standins::EndpointCounts counts;
+  standins::EndpointServer server(clock, counts, 1);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(*server.Listen("127.0.0.1:0"));
+  endpoints::HttpEndpointClient client(metrics);
+  bool answered = false;
+  client.Start(MakeCall(address, "run=20000"),
+               [&answered](const AttemptResult&) { answered = true; });
+  RunLoopUntil([&] { return server.Running() == 1; });
+  bool confirmed = false;
+  client.Stop(address, "home.1", [&](bool taken) { confirmed = taken; });
+  RunLoopUntil([&] { return confirmed; });
+  EXPECT_EQ(server.Running(), 0U);
+  EXPECT_EQ(counts.stopped, 1U);
+  EXPECT_FALSE(answered);
+}
+
+TEST(EndpointContractTest, StopsOfAWaveShareMessages) {
+  base::GlibClock clock;
+  base::Metrics metrics;
+  standins::EndpointCounts counts;
+  standins::EndpointServer server(clock, counts, 1);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(*server.Listen("127.0.0.1:0"));
+  endpoints::HttpEndpointClient client(metrics);
+  constexpr std::uint32_t kTasks = 8;
+  for (std::uint32_t i = 0; i < kTasks; ++i) {
+    client.Start(MakeCall(address, "run=20000", "home." + std::to_string(i)),
+                 [](const AttemptResult&) {});
+  }
+  RunLoopUntil([&] { return server.Running() == kTasks; });
+  std::uint32_t confirmed = 0;
+  for (std::uint32_t i = 0; i < kTasks; ++i) {
+    client.Stop(address, "home." + std::to_string(i),
+                [&](bool taken) { confirmed += taken ? 1 : 0; });
+  }
+  RunLoopUntil([&] { return confirmed == kTasks; });
+  EXPECT_LE(counts.stops, 2U);
+}
+
+TEST(EndpointContractTest, AStopThatCannotBeDeliveredSaysSo) {
+  std::string address;
+  {
+    RawServer server([](const std::string&, int) {
+      return RawReaction{"", true};
+    });
+    address = server.Address();
+  }
+  base::Metrics metrics;
+  endpoints::HttpEndpointClient client(metrics);
+  std::optional<bool> taken;
+  client.Stop(address, "home.1", [&](bool result) { taken = result; });
+  RunLoopUntil([&] { return taken.has_value(); });
+  EXPECT_EQ(taken, std::optional<bool>(false));
+}
+
+TEST(EndpointContractTest, ARenewedLeaseOutlivesTheFirst) {
+  base::GlibClock clock;
+  base::Metrics metrics;
+  standins::EndpointCounts counts;
+  standins::EndpointServer server(clock, counts, 1);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(*server.Listen("127.0.0.1:0"));
+  endpoints::HttpEndpointClient client(metrics);
+  dispatch::TaskCall call = MakeCall(address, "run=20000");
+  call.lease = milliseconds(200);
+  std::optional<AttemptResult> outcome;
+  client.Start(call, [&](AttemptResult result) { outcome = result; });
+  RunLoopUntil([&] { return server.Running() == 1; });
+  bool renewed = false;
+  client.Renew(address, {"home.1"}, seconds(30),
+               [&](bool taken) { renewed = taken; });
+  RunLoopUntil([&] { return renewed; });
+  RunLoopFor(300);
+  EXPECT_EQ(server.Running(), 1U);
+  EXPECT_EQ(counts.lapsed, 0U);
+  client.Renew(address, {"home.1"}, milliseconds(1), [](bool) {});
+  RunLoopUntil([&] { return outcome.has_value(); });
+  EXPECT_EQ(counts.lapsed, 1U);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/contract/peer_contract_test.cc
@@ -0,0 +1,244 @@
+// Contract of the interface between processes, with its faults in tables.
+
+#include <gtest/gtest.h>
+#include <zmq.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/glib_clock.h"
+#include "base/metrics.h"
+#include "fleet/peer_messenger.h"
+#include "peers/zmq_transport.h"
+#include "support/loop.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using base::ErrorKind;
+using base::Result;
+using fleet::PeerMessenger;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// One process: its transport, and its messenger once the address is known.
+struct Peer {
+  Peer(base::Clock& clock, const std::string& cluster, const std::string& name)
+      : transport(metrics),
+        address(*transport.Bind("127.0.0.1:0")),
+        messenger(clock, transport, metrics, cluster, name, address) {}
+
+  base::Metrics metrics;
+  peers::ZmqTransport transport;
+  std::string address;
+  PeerMessenger messenger;
+};
+
+wire::Envelope Query(const std::string& key) {
+  wire::Envelope envelope;
+  envelope.mutable_query()->set_key(key);
+  return envelope;
+}
+
+wire::Envelope Answer(const std::string& key) {
+  wire::Envelope envelope;
+  envelope.mutable_answer()->mutable_answer()->set_key(key);
+  return envelope;
+}
+
+Result<wire::Envelope> Ask(Peer& from, const std::string& to,
+                           base::Duration timeout) {
+  std::optional<Result<wire::Envelope>> outcome;
+  from.messenger.Request(to, Query("k"), timeout,
+                         [&](Result<wire::Envelope> r) { outcome = r; });
+  RunLoopUntil([&] { return outcome.has_value(); });
+  return *outcome;
+}
+
+TEST(PeerContractTest, AnswersFindTheirRequests) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a");
+  Peer b(clock, "c", "b");
+  std::vector<wire::Envelope> held;
+  b.messenger.SetHandler(
+      wire::Envelope::kQuery, [&](const wire::Envelope& request) {
+        held.push_back(request);
+        if (held.size() < 3) return;
+        // Answers leave in the opposite order.
+        for (auto one = held.rbegin(); one != held.rend(); ++one) {
+          b.messenger.Reply(*one, Answer(one->query().key()));
+        }
+      });
+  std::vector<std::string> got(3);
+  int answers = 0;
+  for (int i = 0; i < 3; ++i) {
+    a.messenger.Request(b.address, Query("key" + std::to_string(i)), seconds(5),
+                        [&, i](const Result<wire::Envelope>& r) {
+                          ASSERT_TRUE(r);
+                          got[static_cast<std::size_t>(i)] =
+                              r->answer().answer().key();
+                          ++answers;
+                        });
+  }
+  ASSERT_TRUE(RunLoopUntil([&] { return answers == 3; }));
+  EXPECT_EQ(got, (std::vector<std::string>{"key0", "key1", "key2"}));
+}
+
+struct MismatchCase {
+  const char* name;
+  const char* cluster;
+  std::uint32_t version;
+  const char* reason;
+};
+
+class PeerMismatchTest : public ::testing::TestWithParam<MismatchCase> {};
+
+TEST_P(PeerMismatchTest, IsRefusedByName) {
+  const MismatchCase& row = GetParam();
+  base::GlibClock clock;
+  Peer b(clock, "c", "b");
+  bool handled = false;
+  b.messenger.SetHandler(wire::Envelope::kQuery,
+                         [&](const wire::Envelope&) { handled = true; });
+  base::Metrics metrics;
+  peers::ZmqTransport stranger(metrics);
+  const std::string address = *stranger.Bind("127.0.0.1:0");
+  std::optional<wire::Envelope> answer;
+  stranger.SetReceiver([&](const wire::Envelope& e) { answer = e; });
+  wire::Envelope envelope = Query("k");
+  envelope.set_cluster(row.cluster);
+  envelope.set_version(row.version);
+  envelope.set_sender("stranger");
+  envelope.set_sender_address(address);
+  envelope.set_correlation(7);
+  stranger.Send(b.address, envelope);
+  ASSERT_TRUE(RunLoopUntil([&] { return answer.has_value(); }));
+  EXPECT_FALSE(handled);
+  EXPECT_EQ(answer->correlation(), 7U);
+  EXPECT_EQ(answer->refusal().reason(), row.reason);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Mismatches, PeerMismatchTest,
+    ::testing::Values(MismatchCase{"OtherCluster", "other",
+                                   fleet::kPeerProtocolVersion,
+                                   "this is cluster 'c', not 'other'"},
+                      MismatchCase{"OtherVersion", "c",
+                                   fleet::kPeerProtocolVersion + 1,
+                                   "this speaks version 1, not 2"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(PeerContractTest, ARefusedRequestEndsAsAMismatch) {
+  base::GlibClock clock;
+  Peer a(clock, "other", "a");
+  Peer b(clock, "c", "b");
+  const auto outcome = Ask(a, b.address, seconds(20));
+  ASSERT_FALSE(outcome);
+  EXPECT_EQ(outcome.GetError().Kind(), ErrorKind::kPeerMismatch);
+}
+
+TEST(PeerContractTest, AMissingPeerEndsInATimeout) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a");
+  std::string gone;
+  { gone = Peer(clock, "c", "b").address; }
+  const auto outcome = Ask(a, gone, milliseconds(100));
+  ASSERT_FALSE(outcome);
+  EXPECT_EQ(outcome.GetError().Kind(), ErrorKind::kHomeUnreachable);
+  EXPECT_EQ(a.messenger.PendingRequests(), 0U);
+}
+
+TEST(PeerContractTest, AnAnswerForAnEarlierIncarnationIsDropped) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a.2");
+  Peer b(clock, "c", "b");
+  b.messenger.SetHandler(wire::Envelope::kQuery,
+                         [&](const wire::Envelope& request) {
+                           wire::Envelope earlier = request;
+                           earlier.set_sender("a.1");
+                           b.messenger.Reply(earlier, Answer("crossed"));
+                           b.messenger.Reply(request, Answer("right"));
+                         });
+  const auto outcome = Ask(a, b.address, seconds(5));
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->answer().answer().key(), "right");
+  EXPECT_EQ(a.metrics.Counter("peer.crossed_answers"), 1U);
+}
+
+TEST(PeerContractTest, ASecondAnswerIsDropped) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a");
+  Peer b(clock, "c", "b");
+  b.messenger.SetHandler(wire::Envelope::kQuery,
+                         [&](const wire::Envelope& request) {
+                           b.messenger.Reply(request, Answer("first"));
+                           b.messenger.Reply(request, Answer("second"));
+                         });
+  const auto outcome = Ask(a, b.address, seconds(5));
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->answer().answer().key(), "first");
+  RunLoopUntil([&] { return a.metrics.Counter("peer.late_answers") == 1; });
+}
+
+TEST(PeerContractTest, UnknownFieldsAreTolerated) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a");
+  Peer b(clock, "c", "b");
+  std::string key;
+  b.messenger.SetHandler(
+      wire::Envelope::kQuery,
+      [&](const wire::Envelope& request) { key = request.query().key(); });
+  wire::Envelope envelope = Query("k");
+  constexpr int kFutureField = 999;
+  envelope.GetReflection()->MutableUnknownFields(&envelope)->AddLengthDelimited(
+      kFutureField, "future");
+  a.messenger.Notify(b.address, envelope);
+  EXPECT_TRUE(RunLoopUntil([&] { return key == "k"; }));
+}
+
+TEST(PeerContractTest, BytesThatAreNoEnvelopeAreDroppedAndCounted) {
+  base::GlibClock clock;
+  Peer b(clock, "c", "b");
+  void* context = zmq_ctx_new();
+  void* socket = zmq_socket(context, ZMQ_PUSH);
+  ASSERT_EQ(zmq_connect(socket, ("tcp://" + b.address).c_str()), 0);
+  zmq_send(socket, "\xff\xff\xff", 3, 0);
+  EXPECT_TRUE(
+      RunLoopUntil([&] { return b.metrics.Counter("peer.unreadable") == 1; }));
+  zmq_close(socket);
+  zmq_ctx_term(context);
+}
+
+TEST(PeerContractTest, AFullQueueRefusesAndLosesNothingElse) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a");
+  std::string gone;
+  { gone = Peer(clock, "c", "b").address; }
+  int accepted = 0;
+  while (a.messenger.Notify(gone, Query("k")) && accepted < 100'000) {
+    ++accepted;
+  }
+  EXPECT_LT(accepted, 100'000);
+  EXPECT_EQ(a.metrics.Counter("peer.dropped"), 1U);
+}
+
+TEST(PeerContractTest, ManySmallMessagesAllArrive) {
+  base::GlibClock clock;
+  Peer a(clock, "c", "a");
+  Peer b(clock, "c", "b");
+  constexpr int kMessages = 20'000;
+  int received = 0;
+  b.messenger.SetHandler(wire::Envelope::kQuery,
+                         [&](const wire::Envelope&) { ++received; });
+  int sent = 0;
+  while (sent < kMessages) {
+    if (a.messenger.Notify(b.address, Query("k"))) ++sent;
+    if (sent % 1000 == 0) RunLoopUntil([&] { return received + 5000 > sent; });
+  }
+  EXPECT_TRUE(RunLoopUntil([&] { return received == kMessages; }));
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -23,6 +23,9 @@
   /// Listens and returns the port.
   base::Result<std::uint16_t> Listen(const std::string& address);
 
+  /// Same as the `append` parameter of /fault.
+  void SetAppendMode(const std::string& mode) { this->append_mode = mode; }
+
   MemoryLog& Log() { return this->log; }
 
   /// Appends received, whether or not they were answered.
