Rules of jobs, membership, configuration and leaving on the paused clock

Cause: the random test shows that promises hold, not which rule holds them. Before: no test named these rules.

--- /dev/null
+++ b/tests/dispatch/job_rules_test.cc
@@ -0,0 +1,233 @@
+// Rules of one job's life, on the paused clock.
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "base/logger.h"
+#include "dispatch/dispatch_board.h"
+#include "dispatch/drain_controller.h"
+#include "dispatch/job_controller.h"
+#include "support/small_fleet.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class JobRulesTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    base::SetLogLevel(base::LogLevel::kError);
+    this->fleet.AddEndpoint("10.0.0.1:80", "north");
+    this->fleet.AddEndpoint("10.0.0.2:80", "north");
+    this->fleet.Publish("slots = 2\n[timeouts]\nlease = 1s\ntask = 4s\n");
+    this->fleet.AddProcess("a", "north");
+    this->fleet.Run(seconds(2));
+  }
+
+  const base::Metrics& MetricsOf(const std::string& name) {
+    return this->fleet.Process(name).metrics;
+  }
+
+  void SetModes(EndpointMode mode) {
+    for (auto& [address, endpoint] : this->fleet.endpoints.All()) {
+      endpoint.mode = mode;
+    }
+  }
+
+  SmallFleet fleet;
+};
+
+TEST_F(JobRulesTest, QueuedTasksOfAPausedProcessDoNotStartAfterTheDeadline) {
+  const auto answer =
+      this->fleet.Submit("a", 8, milliseconds(500), milliseconds(2500));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->fleet.Starts(), 4U);
+  this->fleet.Process("a").clock.Pause();
+  this->fleet.Run(seconds(60));
+  this->fleet.Process("a").clock.Resume();
+  this->fleet.Run(seconds(5));
+  EXPECT_EQ(this->fleet.Starts(), 4U);
+  EXPECT_EQ(answer->failure().execution(), wire::MAY_HAVE_RUN);
+}
+
+TEST_F(JobRulesTest, ALeaseThatLapsedInAPauseIsAnUnknownOutcome) {
+  const auto answer =
+      this->fleet.Submit("a", 1, milliseconds(3500), seconds(30));
+  this->fleet.Run(milliseconds(100));
+  this->fleet.Process("a").clock.Pause();
+  this->fleet.Run(seconds(3));
+  this->fleet.Process("a").clock.Resume();
+  this->fleet.Run(seconds(10));
+  EXPECT_EQ(answer->failure().kind(), "outcome_unknown");
+  EXPECT_EQ(answer->failure().execution(), wire::MAY_HAVE_RUN);
+  EXPECT_EQ(this->fleet.Starts(), 1U);
+}
+
+TEST_F(JobRulesTest, LeasesOfLongTasksAreRenewed) {
+  const auto answer =
+      this->fleet.Submit("a", 1, milliseconds(3500), seconds(30));
+  this->fleet.Run(seconds(5));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+  EXPECT_GE(MetricsOf("a").Counter("attempts.renewals"), 3U);
+}
+
+TEST_F(JobRulesTest, ARefusalBeforeTheStartIsTriedElsewhere) {
+  this->fleet.endpoints.At("10.0.0.1:80").mode = EndpointMode::kRefusing;
+  const auto answer = this->fleet.Submit("a", 1, milliseconds(50), seconds(5));
+  this->fleet.Run(seconds(2));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+}
+
+TEST_F(JobRulesTest, AnUnknownStartIsNeverTriedAgain) {
+  this->fleet.endpoints.SetFaults(0, 1, 0);
+  const auto answer = this->fleet.Submit("a", 1, milliseconds(50), seconds(20));
+  this->fleet.Run(seconds(10));
+  EXPECT_EQ(answer->failure().kind(), "outcome_unknown");
+  EXPECT_EQ(this->fleet.Starts(), 1U);
+}
+
+TEST_F(JobRulesTest, ALostRequestIsAnUnknownStartToo) {
+  this->fleet.endpoints.SetFaults(1, 0, 0);
+  const auto answer = this->fleet.Submit("a", 1, milliseconds(50), seconds(20));
+  this->fleet.Run(seconds(10));
+  EXPECT_EQ(answer->failure().execution(), wire::MAY_HAVE_RUN);
+  EXPECT_EQ(MetricsOf("a").Counter("attempts.started"), 1U);
+}
+
+TEST_F(JobRulesTest, OneFailedTaskStopsTheOthers) {
+  this->fleet.endpoints.At("10.0.0.2:80").mode = EndpointMode::kFailing;
+  const auto answer = this->fleet.Submit("a", 8, seconds(3), seconds(20));
+  this->fleet.Run(milliseconds(200));
+  EXPECT_EQ(answer->failure().kind(), "task_failed");
+  EXPECT_EQ(answer->results_size(), 0);
+  EXPECT_EQ(this->fleet.endpoints.At("10.0.0.1:80").running, 0U);
+  const std::uint64_t starts = this->fleet.Starts();
+  this->fleet.Run(seconds(20));
+  EXPECT_EQ(this->fleet.Starts(), starts);
+}
+
+TEST_F(JobRulesTest, ASlotStaysTakenUntilTheEndpointConfirmsTheStop) {
+  SetModes(EndpointMode::kHanging);
+  this->fleet.Submit("a", 4, seconds(1), milliseconds(500));
+  this->fleet.Run(milliseconds(400));
+  SetModes(EndpointMode::kDown);
+  this->fleet.Run(milliseconds(200));
+  const auto& board = this->fleet.Process("a").dispatcher.GetDispatchBoard();
+  EXPECT_EQ(board.attempts.size(), 4U);
+  this->fleet.Run(seconds(3));
+  EXPECT_EQ(board.attempts.size(), 0U);
+}
+
+TEST_F(JobRulesTest, AnEndpointThatHangsEndsAtTheTaskTimeout) {
+  SetModes(EndpointMode::kHanging);
+  const auto answer = this->fleet.Submit("a", 1, seconds(1), seconds(20));
+  this->fleet.Run(seconds(6));
+  EXPECT_EQ(answer->failure().kind(), "outcome_unknown");
+}
+
+TEST_F(JobRulesTest, NoEndpointGetsMoreThanItsSlots) {
+  for (int i = 0; i < 20; ++i) {
+    this->fleet.Submit("a", 7, milliseconds(130), seconds(30));
+  }
+  this->fleet.Run(seconds(10));
+  for (const auto& [address, endpoint] : this->fleet.endpoints.All()) {
+    EXPECT_EQ(endpoint.most_running, 2U);
+  }
+}
+
+TEST_F(JobRulesTest, AJobThatCannotStartInTimeIsNotRun) {
+  SetModes(EndpointMode::kHanging);
+  this->fleet.Submit("a", 4, seconds(1), seconds(3));
+  const auto late =
+      this->fleet.Submit("a", 2, milliseconds(10), milliseconds(500));
+  this->fleet.Run(seconds(1));
+  EXPECT_EQ(late->failure().kind(), "deadline_exceeded");
+  EXPECT_EQ(late->failure().execution(), wire::NOT_RUN);
+}
+
+TEST_F(JobRulesTest, AnExpiredKeyIsRefusedAndNotRunAgain) {
+  this->fleet.dispatch_settings.epoch_length = seconds(5);
+  this->fleet.dispatch_settings.remembered_epochs = 2;
+  this->fleet.AddProcess("b", "north");
+  this->fleet.Run(seconds(2));
+  const std::string key =
+      this->fleet.Process("b").dispatcher.Jobs().CurrentPrefix() + "k";
+  const auto first =
+      this->fleet.Submit("b", 1, milliseconds(10), seconds(2), key);
+  this->fleet.Run(seconds(1));
+  ASSERT_EQ(first->state(), wire::COMPLETE);
+  this->fleet.Run(seconds(20));
+  const auto second =
+      this->fleet.Submit("b", 1, milliseconds(10), seconds(2), key);
+  EXPECT_EQ(second->failure().kind(), "key_expired");
+  EXPECT_EQ(second->failure().execution(), wire::MAY_HAVE_RUN);
+  EXPECT_EQ(this->fleet.Starts(), 1U);
+  EXPECT_EQ(
+      this->fleet.Process("b").dispatcher.GetJobController().RememberedKeys(),
+      0U);
+}
+
+TEST_F(JobRulesTest, ADrainFinishesWhatIsQueuedAndRunning) {
+  const auto answer =
+      this->fleet.Submit("a", 12, milliseconds(400), seconds(20));
+  this->fleet.Run(milliseconds(100));
+  bool done = false;
+  this->fleet.Process("a").dispatcher.GetDrain().Begin([&] { done = true; });
+  const auto refused = this->fleet.Submit("a", 1, milliseconds(10), seconds(2));
+  EXPECT_EQ(refused->failure().kind(), "draining");
+  this->fleet.Run(seconds(5));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+  EXPECT_TRUE(done);
+}
+
+TEST_F(JobRulesTest, ADrainThatTakesTooLongEndsTruthfully) {
+  SetModes(EndpointMode::kHanging);
+  this->fleet.dispatch_settings.drain_timeout = seconds(2);
+  this->fleet.AddProcess("b", "north");
+  this->fleet.Run(seconds(5));
+  const auto answer = this->fleet.Submit("b", 8, seconds(1), seconds(60));
+  this->fleet.Run(milliseconds(100));
+  bool done = false;
+  this->fleet.Process("b").dispatcher.GetDrain().Begin([&] { done = true; });
+  this->fleet.Run(seconds(8));
+  EXPECT_EQ(answer->failure().kind(), "cancelled");
+  EXPECT_EQ(answer->failure().execution(), wire::MAY_HAVE_RUN);
+  EXPECT_TRUE(done);
+}
+
+TEST_F(JobRulesTest, AFailingEndpointIsQuarantinedAndReturns) {
+  this->fleet.endpoints.At("10.0.0.2:80").mode = EndpointMode::kFailing;
+  for (int i = 0; i < 100; ++i) {
+    this->fleet.Submit("a", 1, milliseconds(20), seconds(5));
+    this->fleet.Run(milliseconds(30));
+  }
+  EXPECT_LT(this->fleet.endpoints.At("10.0.0.2:80").starts, 10U);
+  this->fleet.endpoints.At("10.0.0.2:80").mode = EndpointMode::kNormal;
+  const std::uint64_t before = this->fleet.endpoints.At("10.0.0.2:80").starts;
+  for (int i = 0; i < 2000; ++i) {
+    this->fleet.Submit("a", 4, milliseconds(20), seconds(5));
+    this->fleet.Run(milliseconds(30));
+  }
+  EXPECT_GT(this->fleet.endpoints.At("10.0.0.2:80").starts, before + 1000);
+}
+
+TEST_F(JobRulesTest, AServiceThatFailsEverywhereQuarantinesNobody) {
+  SetModes(EndpointMode::kFailing);
+  for (int i = 0; i < 200; ++i) {
+    this->fleet.Submit("a", 1, milliseconds(20), seconds(5));
+    this->fleet.Run(milliseconds(30));
+  }
+  const auto& board = this->fleet.Process("a").dispatcher.GetDispatchBoard();
+  std::uint32_t healthy = 0;
+  for (const auto& [address, endpoint] : board.endpoints) {
+    healthy += endpoint->health == dispatch::EndpointHealth::kHealthy ? 1 : 0;
+  }
+  EXPECT_GE(healthy, 1U);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/fleet/fleet_rules_test.cc
@@ -0,0 +1,288 @@
+// Rules of membership, configuration and leaving, on the paused clock.
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "base/logger.h"
+#include "dispatch/dispatch_board.h"
+#include "fleet/membership_controller.h"
+#include "support/small_fleet.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FleetRulesTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    base::SetLogLevel(base::LogLevel::kError);
+    for (int i = 1; i <= 6; ++i) {
+      this->fleet.AddEndpoint(fmt::format("10.0.0.{}:80", i), "north");
+    }
+    this->fleet.AddEndpoint("10.0.1.1:80", "south");
+    this->fleet.Publish();
+  }
+
+  void StartNorth() {
+    for (const char* name : {"a", "b", "c"}) {
+      this->fleet.AddProcess(name, "north");
+    }
+    this->fleet.Run(seconds(8));
+  }
+
+  std::size_t LiveIn(const std::string& process, const std::string& domain) {
+    return this->fleet.Process(process)
+        .dispatcher.GetMembership()
+        .LiveIn(domain)
+        .size();
+  }
+
+  int OwnersOf(const std::string& address) {
+    int owners = 0;
+    for (const auto& process : this->fleet.processes) {
+      const auto& endpoints = process->dispatcher.GetDispatchBoard().endpoints;
+      const auto found = endpoints.find(address);
+      owners += found != endpoints.end() && found->second->owned ? 1 : 0;
+    }
+    return owners;
+  }
+
+  std::uint64_t GenerationOf(const std::string& process) {
+    return this->fleet.Process(process)
+        .dispatcher.GetFleetBoard()
+        .config.Generation();
+  }
+
+  bool IsReady(const std::string& process) {
+    return this->fleet.Process(process).dispatcher.Jobs().IsReady();
+  }
+
+  SmallFleet fleet;
+};
+
+TEST_F(FleetRulesTest, EveryEndpointHasOneOwnerInItsDomain) {
+  StartNorth();
+  this->fleet.AddProcess("d", "south");
+  this->fleet.Run(seconds(8));
+  for (const auto& [address, endpoint] : this->fleet.endpoints.All()) {
+    EXPECT_EQ(OwnersOf(address), 1) << address;
+  }
+}
+
+TEST_F(FleetRulesTest, EndpointsOfADeadProcessGetANewOwner) {
+  StartNorth();
+  this->fleet.Kill("b");
+  this->fleet.Run(seconds(5));
+  for (int i = 1; i <= 6; ++i) {
+    EXPECT_EQ(OwnersOf(fmt::format("10.0.0.{}:80", i)), 1);
+  }
+}
+
+TEST_F(FleetRulesTest, AProcessThatReturnsWithItsAddressReplacesTheOldOne) {
+  StartNorth();
+  this->fleet.Kill("b");
+  this->fleet.AddProcess("b2", "north", "b:1");
+  this->fleet.Run(seconds(2));
+  const auto& members =
+      this->fleet.Process("a").dispatcher.GetFleetBoard().members;
+  EXPECT_TRUE(members.at("b").left);
+  EXPECT_FALSE(members.at("b2").left);
+  EXPECT_EQ(LiveIn("a", "north"), 3U);
+}
+
+TEST_F(FleetRulesTest, OfTwoProcessesWithOneAddressTheLaterIsTaken) {
+  StartNorth();
+  this->fleet.AddProcess("b2", "north", "b:1");
+  this->fleet.Run(seconds(3));
+  const auto& members =
+      this->fleet.Process("a").dispatcher.GetFleetBoard().members;
+  EXPECT_TRUE(members.at("b").left);
+  EXPECT_EQ(LiveIn("a", "north"), 3U);
+}
+
+TEST_F(FleetRulesTest, AOneWayCutSilencesOnlyThatWay) {
+  StartNorth();
+  this->fleet.AddProcess("d", "south");
+  this->fleet.Run(seconds(10));
+  ASSERT_EQ(LiveIn("d", "north"), 3U);
+  ASSERT_EQ(LiveIn("a", "south"), 1U);
+  this->fleet.network.Cut("south", "north");
+  this->fleet.Run(seconds(20));
+  EXPECT_EQ(LiveIn("d", "north"), 3U);
+  EXPECT_EQ(LiveIn("a", "south"), 0U);
+  this->fleet.network.HealAll();
+  this->fleet.Run(seconds(10));
+  EXPECT_EQ(LiveIn("a", "south"), 1U);
+}
+
+TEST_F(FleetRulesTest, ADomainThatIsCutOffGoesOnServing) {
+  StartNorth();
+  this->fleet.AddProcess("d", "south");
+  this->fleet.Run(seconds(5));
+  this->fleet.network.Cut("south", "north");
+  this->fleet.network.Cut("north", "south");
+  this->fleet.platform.cut_domains.insert("south");
+  this->fleet.Run(seconds(60));
+  const auto answer = this->fleet.Submit("d", 3, milliseconds(50), seconds(2));
+  this->fleet.Run(seconds(2));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+}
+
+TEST_F(FleetRulesTest, AKeyWhoseHomeIsCutOffMayHaveRun) {
+  StartNorth();
+  this->fleet.AddProcess("d", "south");
+  this->fleet.Run(seconds(5));
+  const std::string key =
+      this->fleet.Process("a").dispatcher.Jobs().CurrentPrefix() + "k";
+  this->fleet.network.Cut("south", "north");
+  const auto answer =
+      this->fleet.Submit("d", 1, milliseconds(50), seconds(1), key);
+  this->fleet.Run(seconds(10));
+  EXPECT_EQ(answer->failure().kind(), "home_unreachable");
+  EXPECT_EQ(answer->failure().execution(), wire::MAY_HAVE_RUN);
+}
+
+TEST_F(FleetRulesTest, ANewProcessStartsFromAPeerWhileTheLogIsDown) {
+  StartNorth();
+  this->fleet.platform.down = true;
+  this->fleet.fleet_settings.seeds = {"a:1"};
+  this->fleet.AddProcess("late", "north");
+  this->fleet.Run(seconds(2));
+  EXPECT_FALSE(IsReady("late"));
+  this->fleet.Run(seconds(6));
+  EXPECT_TRUE(IsReady("late"));
+  EXPECT_EQ(GenerationOf("late"), GenerationOf("a"));
+  EXPECT_EQ(LiveIn("c", "north"), 4U);
+}
+
+TEST_F(FleetRulesTest, WithoutLogAndPeersAProcessIsNotReady) {
+  this->fleet.platform.down = true;
+  this->fleet.AddProcess("a", "north");
+  this->fleet.Run(seconds(30));
+  EXPECT_FALSE(IsReady("a"));
+  const auto answer = this->fleet.Submit("a", 1, milliseconds(10), seconds(1));
+  EXPECT_EQ(answer->failure().kind(), "not_ready");
+  EXPECT_EQ(answer->failure().execution(), wire::NOT_RUN);
+}
+
+TEST_F(FleetRulesTest, CheckpointsOutliveRetention) {
+  this->fleet.platform.log.SetRetention(30'000);
+  StartNorth();
+  const std::uint64_t generation = GenerationOf("a");
+  this->fleet.Run(seconds(200));
+  EXPECT_GT(this->fleet.platform.log.Read(0, 1).earliest(), 0U);
+  this->fleet.AddProcess("late", "north");
+  this->fleet.Run(seconds(3));
+  EXPECT_TRUE(IsReady("late"));
+  EXPECT_EQ(GenerationOf("late"), generation);
+  // One process writes per third of the retention, rarely two.
+  std::uint64_t appends = 0;
+  for (const auto& process : this->fleet.processes) {
+    appends += process->metrics.Counter("platform.log_appends");
+  }
+  EXPECT_LE(appends, 4U + 2U * 20U);
+}
+
+TEST_F(FleetRulesTest, AnOutageLongerThanRetentionDoesNotRevert) {
+  this->fleet.platform.log.SetRetention(30'000);
+  StartNorth();
+  this->fleet.Publish("[timeouts]\nlease = 2s\n");
+  this->fleet.Run(seconds(2));
+  const std::uint64_t generation = GenerationOf("a");
+  this->fleet.platform.down = true;
+  this->fleet.Run(seconds(100));
+  this->fleet.platform.log.Expire(this->fleet.clock.WallMilliseconds());
+  this->fleet.platform.down = false;
+  this->fleet.Run(seconds(30));
+  EXPECT_EQ(GenerationOf("a"), generation);
+  this->fleet.AddProcess("late", "north");
+  this->fleet.Run(seconds(15));
+  EXPECT_EQ(GenerationOf("late"), generation);
+  EXPECT_TRUE(IsReady("late"));
+}
+
+enum class LeavingSign { kVmList, kServiceFile, kOwnRefusal };
+
+struct LeavingCase {
+  const char* name;
+  LeavingSign sign;
+  /// Whether the list reaches only one process of the domain.
+  bool only_one_sees;
+};
+
+class LeavingTest : public FleetRulesTest,
+                    public ::testing::WithParamInterface<LeavingCase> {};
+
+TEST_P(LeavingTest, GetsNoNewWorkAfterThreeSeconds) {
+  const LeavingCase& row = GetParam();
+  StartNorth();
+  const std::string leaving = "10.0.0.3:80";
+  const auto load = [this](base::Duration span) {
+    for (base::Duration t{0}; t < span; t += milliseconds(20)) {
+      for (const auto& process : this->fleet.processes) {
+        this->fleet.Submit(process->incarnation, 4, milliseconds(100),
+                           seconds(5));
+      }
+      this->fleet.Run(milliseconds(20));
+    }
+  };
+  load(seconds(2));
+  ASSERT_GT(this->fleet.endpoints.At(leaving).starts, 0U);
+  if (row.only_one_sees) {
+    for (const char* name : {"b", "c"}) {
+      this->fleet.Process(name).platform.SetVmListReachable(false);
+    }
+  }
+  switch (row.sign) {
+    case LeavingSign::kVmList: {
+      wire::Vm* vm = this->fleet.platform.vms.add_vms();
+      vm->set_address("10.0.0.3");
+      vm->set_state(wire::VM_LEAVING);
+      this->fleet.platform.vms.set_version(2);
+      break;
+    }
+    case LeavingSign::kServiceFile:
+      this->fleet.RemoveEndpoint(leaving + "@north");
+      this->fleet.Publish();
+      break;
+    case LeavingSign::kOwnRefusal:
+      this->fleet.endpoints.At(leaving).mode = EndpointMode::kLeaving;
+      break;
+  }
+  load(seconds(3));
+  const std::uint64_t messages = this->fleet.endpoints.At(leaving).starts;
+  load(seconds(5));
+  EXPECT_EQ(this->fleet.endpoints.At(leaving).starts, messages);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Signs, LeavingTest,
+    ::testing::Values(
+        LeavingCase{"VmList", LeavingSign::kVmList, false},
+        LeavingCase{"VmListSeenByOne", LeavingSign::kVmList, true},
+        LeavingCase{"ServiceFile", LeavingSign::kServiceFile, false},
+        LeavingCase{"OwnRefusal", LeavingSign::kOwnRefusal, false}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(FleetRulesTest, WhatALeavingEndpointRunsEndsInPeace) {
+  StartNorth();
+  const auto answer =
+      this->fleet.Submit("a", 30, milliseconds(2500), seconds(20));
+  this->fleet.Run(milliseconds(100));
+  for (int i = 1; i <= 6; ++i) {
+    wire::Vm* vm = this->fleet.platform.vms.add_vms();
+    vm->set_address(fmt::format("10.0.0.{}", i));
+    vm->set_state(i < 4 ? wire::VM_LEAVING : wire::VM_LIVE);
+  }
+  this->fleet.platform.vms.set_version(2);
+  this->fleet.Run(seconds(19));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- a/tests/support/fake_platform.cc
+++ b/tests/support/fake_platform.cc
@@ -90,7 +90,7 @@
     std::function<void(base::Result<wire::VmList>)> done) {
   static_cast<void>(known_version);
   const auto answer = this->process.Guard([this, done] {
-    if (!this->IsReachable()) {
+    if (!this->IsReachable() || !this->vm_list_reachable) {
       done(Unavailable());
       return;
     }
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -43,6 +43,11 @@
   void Fetch(std::uint64_t known_version,
              std::function<void(base::Result<wire::VmList>)> done) override;
 
+  /// Whether this process reaches the list of VMs.
+  void SetVmListReachable(bool reachable) {
+    this->vm_list_reachable = reachable;
+  }
+
  private:
   bool IsReachable() const;
   void Later(std::function<void()> callback);
@@ -52,6 +57,7 @@
   ProcessClock& process;
   Random& random;
   std::string domain;
+  bool vm_list_reachable = true;
 };
 
 }  // namespace hawthornwheel::testing
