Processes lend each other free slots under leases

Cause: rendezvous hashing gives 3 processes 3, 5 and 9 of 17 endpoints, while the balancer spreads jobs evenly. One process refuses while others idle. Change: a process whose queue has no free slot borrows slots from one that has them, under a lease that it renews while they are in use; the home still starts every task itself. Policy bench with a clairvoyant baseline.

--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,400 @@
+// Policy bench: the real decision code of one failure domain over fake
+// endpoints in virtual time, beside a clairvoyant baseline on the same
+// arrivals. The same flags give the same figures.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "base/logger.h"
+#include "clairvoyant.h"
+#include "support/fake_endpoints.h"
+#include "support/fake_network.h"
+#include "support/fake_platform.h"
+#include "support/manual_clock.h"
+#include "support/random.h"
+#include "support/test_process.h"
+#include "workload.h"
+
+ABSL_FLAG(std::string, scenario, "all", "Name of one scenario, or all.");
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed of arrivals and faults.");
+ABSL_FLAG(int, seconds, 60, "Measured virtual seconds.");
+ABSL_FLAG(int, processes, 3, "Dispatchers of the domain.");
+ABSL_FLAG(int, endpoints, 17, "Endpoints of the domain.");
+ABSL_FLAG(bool, loans, true, "Whether processes lend slots.");
+ABSL_FLAG(std::string, routing, "fastest", "Endpoint selector.");
+
+namespace hawthornwheel::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::EndpointMode;
+
+constexpr base::Duration kWarmUp = seconds(20);
+constexpr base::Duration kTail = seconds(40);
+
+struct Scenario {
+  std::string name;
+  std::vector<Stream> streams;
+  /// Shares of endpoints that fail everything, or are ten times slower than
+  /// they were.
+  double failing = 0;
+  double slowed = 0;
+  /// Endpoints lost at half of the time.
+  int lost = 0;
+  /// Share of arrivals at the first process; 0 spreads them evenly.
+  double first_process_share = 0;
+};
+
+Stream Steady(double load) {
+  return {.team = "laundry", .service = "booking", .load = load};
+}
+
+std::vector<Scenario> AllScenarios() {
+  std::vector<Scenario> all;
+  for (const int load : {20, 50, 80, 95}) {
+    all.push_back({fmt::format("steady-{}", load), {Steady(load / 100.0)}});
+  }
+  Stream others = Steady(0.4);
+  Stream flood{.team = "washers",
+               .service = "status",
+               .urgency = 3,
+               .load = 10,
+               .timeout = seconds(5)};
+  flood.from = seconds(15);
+  flood.until = seconds(35);
+  all.push_back({"flood-bulk", {others, flood}});
+  flood.urgency = 1;
+  all.push_back({"flood-urgent", {others, flood}});
+  Stream showroom{.team = "drawers",
+                  .service = "ledger",
+                  .urgency = 1,
+                  .load = 0.2,
+                  .most_tasks = 3};
+  Stream inventory{.team = "drawers",
+                   .service = "ledger",
+                   .urgency = 3,
+                   .load = 10,
+                   .most_tasks = 100,
+                   .timeout = seconds(20)};
+  inventory.from = seconds(15);
+  inventory.until = seconds(35);
+  all.push_back({"drawers-inventory", {showroom, inventory}});
+  all.push_back({"slow-10%", {Steady(0.6)}, 0, 0.1});
+  all.push_back({"failing-4%", {Steady(0.6)}, 0.04});
+  Stream over = Steady(0.8);
+  over.declared_factor = 10;
+  all.push_back({"declared-x10", {over}});
+  over.declared_factor = 0.1;
+  all.push_back({"declared-/10", {over}});
+  Scenario rack{"rack-lost", {Steady(0.5)}};
+  rack.lost = 4;
+  all.push_back(rack);
+  Scenario uneven{"uneven-entry", {Steady(0.6)}};
+  uneven.first_process_share = 0.7;
+  all.push_back(uneven);
+  return all;
+}
+
+double Quantile(std::vector<double> values, double probability) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto index = static_cast<std::size_t>(
+      probability * static_cast<double>(values.size() - 1));
+  return values[index];
+}
+
+struct StreamResult {
+  std::uint64_t jobs = 0;
+  std::uint64_t tasks = 0;
+  std::uint64_t completed_jobs = 0;
+  std::uint64_t completed_tasks = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t may_have_run = 0;
+  std::vector<double> response_ms;
+  std::vector<double> ideal_ms;
+};
+
+/// One run of a scenario.
+class Run {
+ public:
+  Run(const Scenario& scenario, std::uint64_t seed)
+      : scenario(scenario),
+        random(seed),
+        network(this->clock, this->random),
+        fakes(this->clock, this->random),
+        world{this->clock, this->random, this->network, this->platform,
+              this->fakes},
+        specs(MakeEndpoints(absl::GetFlag(FLAGS_endpoints))),
+        results(scenario.streams.size()) {
+    this->fleet_settings.cluster = "bench";
+    this->dispatch_settings.lend_slots = absl::GetFlag(FLAGS_loans);
+    this->dispatch_settings.routing = absl::GetFlag(FLAGS_routing);
+  }
+
+  void Execute() {
+    for (const BenchEndpoint& spec : this->specs) {
+      this->fakes.Add(spec.address, spec.slowness);
+    }
+    this->Publish();
+    for (int i = 0; i < absl::GetFlag(FLAGS_processes); ++i) {
+      const std::string name = fmt::format("p{}", i);
+      this->processes.push_back(std::make_unique<testing::TestProcess>(
+          this->world, name, "north", name + ":1", this->fleet_settings,
+          this->dispatch_settings));
+      this->processes.back()->dispatcher.Start();
+    }
+    this->clock.Advance(seconds(8));
+    this->WarmUp();
+    this->Measure();
+  }
+
+  void Report() const {
+    std::uint64_t useful = 0;
+    for (const StreamResult& result : this->results) {
+      useful += result.completed_tasks;
+    }
+    const double wasted =
+        static_cast<double>(this->messages_sent) - double(useful);
+    for (std::size_t i = 0; i < this->results.size(); ++i) {
+      const StreamResult& result = this->results[i];
+      const double p50 = Quantile(result.response_ms, 0.5);
+      const double p99 = Quantile(result.response_ms, 0.99);
+      const double ideal50 = Quantile(result.ideal_ms, 0.5);
+      const double ideal99 = Quantile(result.ideal_ms, 0.99);
+      fmt::print(
+          "{:<18} {:<8} jobs={:<6} done={:.3f} refused={:.3f} unknown={:.3f} "
+          "p50={:.0f} p99={:.0f} ratio50={:.2f} ratio99={:.2f}\n",
+          this->scenario.name, this->scenario.streams[i].service, result.jobs,
+          Share(result.completed_jobs, result.jobs),
+          Share(result.refused, result.jobs),
+          Share(result.may_have_run, result.jobs), p50, p99, p50 / ideal50,
+          p99 / ideal99);
+    }
+    std::uint32_t overrun = 0;
+    std::uint64_t failing_starts = 0;
+    std::uint64_t starts = 0;
+    for (const BenchEndpoint& spec : this->specs) {
+      const auto& endpoint =
+          const_cast<testing::FakeEndpoints&>(this->fakes).At(spec.address);
+      overrun = std::max(overrun, endpoint.most_running > spec.slots
+                                      ? endpoint.most_running - spec.slots
+                                      : 0);
+      starts += endpoint.starts;
+      if (endpoint.mode == EndpointMode::kFailing) {
+        failing_starts += endpoint.starts;
+      }
+    }
+    fmt::print("{:<18} wasted/task={:.4f} overrun={} failing_share={:.4f}\n",
+               this->scenario.name, wasted / std::max(1.0, double(useful)),
+               overrun, Share(failing_starts, starts));
+  }
+
+ private:
+  static double Share(std::uint64_t part, std::uint64_t whole) {
+    return whole == 0 ? 0 : double(part) / double(whole);
+  }
+
+  void Publish() {
+    std::string addresses;
+    for (const BenchEndpoint& spec : this->specs) {
+      addresses +=
+          fmt::format("{}{}@north", addresses.empty() ? "" : ",", spec.address);
+    }
+    std::map<std::string, std::string> services;
+    for (const Stream& stream : this->scenario.streams) {
+      services[stream.service] = stream.team;
+    }
+    wire::LogRecord record;
+    record.set_id("bench");
+    for (const auto& [service, team] : services) {
+      wire::ServiceChange* change = record.mutable_change()->add_changes();
+      change->set_service(service);
+      change->set_content(fmt::format(
+          "[service]\nname = {}\nteam = {}\n[endpoints]\naddresses = {}\n",
+          service, team, addresses));
+    }
+    this->platform.log.Append(record.SerializeAsString(),
+                              this->clock.WallMilliseconds());
+  }
+
+  void WarmUp() {
+    std::vector<Stream> streams = this->scenario.streams;
+    for (Stream& stream : streams) {
+      stream.load = std::min(stream.load, 0.3);
+      stream.from = base::Duration{0};
+      stream.until = kWarmUp;
+    }
+    const auto arrivals =
+        MakeArrivals(streams, this->specs, kWarmUp, this->random);
+    this->Play(arrivals, nullptr);
+    this->clock.Advance(seconds(10));
+  }
+
+  void Measure() {
+    this->ApplyFaults();
+    const std::uint64_t before = this->fakes.Messages() + this->PeerMessages();
+    const base::Duration length = seconds(absl::GetFlag(FLAGS_seconds));
+    const auto arrivals =
+        MakeArrivals(this->scenario.streams, this->specs, length, this->random);
+    const auto ideal = this->IdealOf(arrivals);
+    if (this->scenario.lost > 0) {
+      this->clock.StartTimer(length / 2, [this] {
+        for (int i = 0; i < this->scenario.lost; ++i) {
+          this->fakes.At(this->specs[static_cast<std::size_t>(i)].address)
+              .mode = EndpointMode::kDown;
+        }
+      });
+    }
+    this->Play(arrivals, &ideal);
+    this->clock.Advance(kTail);
+    this->messages_sent =
+        this->fakes.Messages() + this->PeerMessages() - before;
+  }
+
+  // A flood has no ideal of its own; the others' ideal is without it.
+  std::vector<base::Duration> IdealOf(
+      const std::vector<Arrival>& arrivals) const {
+    std::vector<Arrival> kept;
+    for (const Arrival& arrival : arrivals) {
+      if (this->scenario.streams[arrival.stream].load < 1) {
+        kept.push_back(arrival);
+      }
+    }
+    const auto responses = ClairvoyantResponses(kept, this->specs);
+    std::vector<base::Duration> ideal(arrivals.size(), base::Duration{1});
+    std::size_t next = 0;
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+      if (this->scenario.streams[arrivals[i].stream].load < 1) {
+        ideal[i] = responses[next++];
+      }
+    }
+    return ideal;
+  }
+
+  void ApplyFaults() {
+    const auto count = static_cast<double>(this->specs.size());
+    const auto failing =
+        static_cast<std::size_t>(std::ceil(this->scenario.failing * count));
+    const auto slowed =
+        static_cast<std::size_t>(std::ceil(this->scenario.slowed * count));
+    for (std::size_t i = 0; i < failing; ++i) {
+      this->fakes.At(this->specs[i].address).mode = EndpointMode::kFailing;
+      this->fakes.At(this->specs[i].address).starts = 0;
+    }
+    for (std::size_t i = 0; i < slowed; ++i) {
+      this->fakes.At(this->specs[i].address).slowness *= 10;
+    }
+  }
+
+  void Play(const std::vector<Arrival>& arrivals,
+            const std::vector<base::Duration>* ideal) {
+    const base::TimePoint start = this->clock.Now();
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+      const base::Duration until = start + arrivals[i].at - this->clock.Now();
+      this->clock.Advance(std::max(until, base::Duration{0}));
+      this->Submit(arrivals[i],
+                   ideal == nullptr ? base::Duration{0} : (*ideal)[i],
+                   ideal != nullptr);
+    }
+  }
+
+  std::uint64_t PeerMessages() const {
+    std::uint64_t sent = 0;
+    for (const auto& process : this->processes) {
+      sent += process->metrics.Counter("peer.sent");
+    }
+    return sent;
+  }
+
+  testing::TestProcess& ChooseProcess() {
+    const double share = this->scenario.first_process_share;
+    if (share > 0 && this->random.Chance(share)) return *this->processes[0];
+    return *this->processes[this->random.Below(this->processes.size())];
+  }
+
+  void Submit(const Arrival& arrival, base::Duration ideal, bool counted) {
+    const Stream& stream = this->scenario.streams[arrival.stream];
+    wire::SubmitRequest request;
+    request.set_team(stream.team);
+    request.set_service(stream.service);
+    request.set_urgency(static_cast<wire::Urgency>(stream.urgency));
+    request.set_timeout_ms(
+        static_cast<std::uint32_t>(stream.timeout / milliseconds(1)));
+    for (const base::Duration run_time : arrival.run_times) {
+      wire::TaskSpec* task = request.add_tasks();
+      task->set_payload(fmt::format("{}:r", run_time.count()));
+      task->set_run_time_ms(static_cast<std::uint32_t>(
+          double(run_time.count()) / 1000 * stream.declared_factor));
+    }
+    const base::TimePoint start = this->clock.Now();
+    StreamResult& result = this->results[arrival.stream];
+    if (counted) {
+      ++result.jobs;
+      result.tasks += arrival.run_times.size();
+    }
+    this->ChooseProcess().dispatcher.Jobs().Submit(
+        request, stream.timeout + seconds(1),
+        [this, start, ideal, counted, &result,
+         tasks = arrival.run_times.size()](const wire::JobAnswer& answer) {
+          if (!counted) return;
+          if (answer.state() != wire::COMPLETE) {
+            ++(answer.failure().execution() == wire::NOT_RUN
+                   ? result.refused
+                   : result.may_have_run);
+            return;
+          }
+          ++result.completed_jobs;
+          result.completed_tasks += tasks;
+          constexpr double kMicrosecondsPerMillisecond = 1000;
+          result.response_ms.push_back(
+              double((this->clock.Now() - start).count()) /
+              kMicrosecondsPerMillisecond);
+          result.ideal_ms.push_back(double(ideal.count()) /
+                                    kMicrosecondsPerMillisecond);
+        });
+  }
+
+  const Scenario& scenario;
+  testing::ManualClock clock;
+  testing::Random random;
+  testing::FakeNetwork network;
+  testing::FakePlatform platform;
+  testing::FakeEndpoints fakes;
+  testing::TestWorld world;
+  std::vector<BenchEndpoint> specs;
+  fleet::FleetSettings fleet_settings;
+  dispatch::DispatchSettings dispatch_settings;
+  std::vector<std::unique_ptr<testing::TestProcess>> processes;
+  std::vector<StreamResult> results;
+  std::uint64_t messages_sent = 0;
+};
+
+int Main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  base::SetLogLevel(base::LogLevel::kError);
+  const std::string wanted = absl::GetFlag(FLAGS_scenario);
+  for (const Scenario& scenario : AllScenarios()) {
+    if (wanted != "all" && wanted != scenario.name) continue;
+    Run run(scenario, absl::GetFlag(FLAGS_seed));
+    run.Execute();
+    run.Report();
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace hawthornwheel::bench
+
+int main(int argc, char** argv) {
+  return hawthornwheel::bench::Main(argc, argv);
+}
--- a/src/libs/dispatch/dispatch_settings.cc
+++ b/src/libs/dispatch/dispatch_settings.cc
@@ -1,8 +1,13 @@
 #include "dispatch/dispatch_settings.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <chrono>
+#include <vector>
 
 #include "base/settings_reader.h"
+#include "dispatch/selector_factory.h"
 
 namespace hawthornwheel::dispatch {
 
@@ -15,6 +20,15 @@
 
 DispatchSettings DispatchSettings::Read(base::SettingsReader& reader) {
   DispatchSettings settings;
+  settings.routing = reader.Text("dispatch", "routing",
+                                 base::Presence::kOptional, settings.routing);
+  const std::vector<std::string> names = SelectorNames();
+  if (std::find(names.begin(), names.end(), settings.routing) == names.end()) {
+    reader.AddFault("dispatch", "routing",
+                    fmt::format("must be one of {}", fmt::join(names, ", ")));
+  }
+  settings.lend_slots =
+      reader.Flag("dispatch", "lend_slots", settings.lend_slots);
   settings.epoch_length =
       reader.Time("dispatch", "epoch_length", settings.epoch_length, seconds(1),
                   minutes(60));
--- a/src/libs/dispatch/dispatch_settings.h
+++ b/src/libs/dispatch/dispatch_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include "base/clock.h"
 
@@ -15,6 +16,10 @@
   /// Reads and checks the group `[dispatch]`.
   static DispatchSettings Read(base::SettingsReader& reader);
 
+  /// Name of the endpoint selector.
+  std::string routing = "fastest";
+  /// Whether processes lend each other slots that are free.
+  bool lend_slots = true;
   base::Duration epoch_length{30'000'000};
   /// Whole epochs for which keys are remembered beside the current one.
   std::uint64_t remembered_epochs = 10;
--- a/src/libs/dispatch/dispatcher.cc
+++ b/src/libs/dispatch/dispatcher.cc
@@ -12,7 +12,9 @@
 #include "dispatch/forwarding_jobs.h"
 #include "dispatch/health_controller.h"
 #include "dispatch/job_controller.h"
+#include "dispatch/loan_controller.h"
 #include "dispatch/routing_controller.h"
+#include "dispatch/selector_factory.h"
 #include "fleet/config_controller.h"
 #include "fleet/leaving_controller.h"
 #include "fleet/membership_controller.h"
@@ -47,7 +49,8 @@
                this->dispatch_settings),
         attempts(parts.clock, parts.endpoints, this->leaving, this->health,
                  this->board, parts.metrics, self.incarnation()),
-        routing(parts.clock, this->board, this->attempts, parts.selector,
+        selector(MakeSelector(dispatch_settings.routing)),
+        routing(parts.clock, this->board, this->attempts, *this->selector,
                 parts.metrics),
         admission(parts.clock, this->fleet_board, this->board,
                   this->dispatch_settings),
@@ -56,6 +59,8 @@
              self.incarnation()),
         forwarding(this->jobs, this->messenger, this->fleet_board,
                    parts.metrics, this->dispatch_settings),
+        loans(parts.clock, this->messenger, this->fleet_board, this->membership,
+              this->board, parts.metrics, dispatch_settings.lend_slots),
         drain(parts.clock, this->board, this->jobs, this->membership,
               this->dispatch_settings),
         care_timer(parts.clock) {
@@ -82,6 +87,8 @@
         [this](const wire::Envelope& envelope) {
           this->OnHeartbeat(envelope);
         });
+    this->routing.SetStarvedListener([this] { this->loans.OnStarved(); });
+    this->loans.SetSlotListener([this] { this->routing.Run(); });
     this->jobs.SetReadiness([this] { return this->fleet_board.config_ready; });
   }
 
@@ -104,6 +111,7 @@
     this->config.Start();
     this->leaving.Start();
     this->attempts.Start();
+    this->loans.Start();
     this->care_timer.StartPeriodic(kCareInterval, [this] { this->TakeCare(); });
   }
 
@@ -118,10 +126,12 @@
   EndpointController endpoints;
   HealthController health;
   AttemptController attempts;
+  std::unique_ptr<EndpointSelector> selector;
   RoutingController routing;
   AdmissionController admission;
   JobController jobs;
   ForwardingJobs forwarding;
+  LoanController loans;
   DrainController drain;
   base::Timer care_timer;
 };
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -6,7 +6,6 @@
 #include "base/clock.h"
 #include "dispatch/dispatch_settings.h"
 #include "dispatch/endpoint_client.h"
-#include "dispatch/endpoint_selector.h"
 #include "dispatch/job_service.h"
 #include "fleet/fleet_board.h"
 #include "fleet/fleet_settings.h"
@@ -36,7 +35,6 @@
   platform::VmListClient& vm_list;
   fleet::PeerTransport& transport;
   EndpointClient& endpoints;
-  EndpointSelector& selector;
   base::Metrics& metrics;
 };
 
--- a/src/libs/dispatch/endpoint_controller.cc
+++ b/src/libs/dispatch/endpoint_controller.cc
@@ -80,12 +80,14 @@
   std::uint32_t free = 0;
   for (const auto& [address, endpoint] : this->board.endpoints) {
     if (endpoint->owned) free += FreeSlots(*endpoint, now);
-    const bool held =
-        !endpoint->owned && endpoint->borrowed == 0 && endpoint->running > 0;
-    if (!held) continue;
+    if (endpoint->owned) continue;
+    const std::uint32_t own_use =
+        endpoint->borrowed == 0 ? endpoint->running : 0;
+    const std::uint32_t held_count = own_use + endpoint->lent;
+    if (held_count == 0) continue;
     wire::HeldSlots* slots = heartbeat.add_held();
     slots->set_endpoint(address);
-    slots->set_slots(endpoint->running);
+    slots->set_slots(held_count);
   }
   std::uint32_t queued = 0;
   for (const auto& [name, load] : this->board.services) {
--- a/src/libs/dispatch/endpoint_state.h
+++ b/src/libs/dispatch/endpoint_state.h
@@ -41,6 +41,11 @@
   /// Slots borrowed from the owner, until the lease ends.
   std::uint32_t borrowed = 0;
   base::TimePoint borrowed_until;
+  /// Incarnation of the lender, and the service borrowed for.
+  std::string lender;
+  std::string borrowed_for;
+  /// Last time that all borrowed slots were in use.
+  base::TimePoint borrowed_used_at;
   /// Attempts that may occupy a slot.
   std::uint32_t running = 0;
   /// Whether new work must not be sent.
--- /dev/null
+++ b/src/libs/dispatch/least_loaded_selector.cc
@@ -0,0 +1,20 @@
+#include "dispatch/least_loaded_selector.h"
+
+#include "dispatch/dispatch_board.h"
+
+namespace hawthornwheel::dispatch {
+
+EndpointState* LeastLoadedSelector::Select(
+    const std::vector<EndpointState*>& pool, base::TimePoint now) {
+  EndpointState* best = nullptr;
+  std::uint32_t best_free = 0;
+  for (EndpointState* endpoint : pool) {
+    const std::uint32_t free = FreeSlots(*endpoint, now);
+    if (free <= best_free) continue;
+    best = endpoint;
+    best_free = free;
+  }
+  return best;
+}
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/loan_controller.cc
@@ -0,0 +1,368 @@
+#include "dispatch/loan_controller.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/metrics.h"
+#include "fleet/membership_controller.h"
+#include "fleet/peer_messenger.h"
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration kLease = milliseconds(1500);
+constexpr base::Duration kRenewInterval = milliseconds(500);
+constexpr base::Duration kCareInterval = milliseconds(50);
+constexpr base::Duration kAskTimeout = milliseconds(200);
+constexpr base::Duration kAskInterval = milliseconds(20);
+constexpr base::Duration kEmptyPause = milliseconds(100);
+constexpr base::Duration kIdleBeforeReturn = milliseconds(300);
+constexpr std::uint32_t kLeastRequest = 4;
+constexpr std::uint32_t kMostRequest = 64;
+// Part of its free slots that a lender gives away at once.
+constexpr std::uint32_t kLendDivisor = 2;
+
+bool ByFreeSlots(const std::pair<std::uint32_t, std::string>& a,
+                 const std::pair<std::uint32_t, std::string>& b) {
+  return a.first != b.first ? a.first > b.first : a.second < b.second;
+}
+
+}  // namespace
+
+LoanController::LoanController(base::Clock& clock,
+                               fleet::PeerMessenger& messenger,
+                               const fleet::FleetBoard& fleet_board,
+                               const fleet::MembershipController& membership,
+                               DispatchBoard& board, base::Metrics& metrics,
+                               bool enabled)
+    : clock(clock),
+      messenger(messenger),
+      fleet_board(fleet_board),
+      membership(membership),
+      board(board),
+      metrics(metrics),
+      enabled(enabled),
+      care_timer(clock) {
+  using wire::Envelope;
+  this->messenger.SetHandler(Envelope::kLoanRequest,
+                             [this](const Envelope& e) { this->Lend(e); });
+  this->messenger.SetHandler(Envelope::kLoanRenewal,
+                             [this](const Envelope& e) { this->Renew(e); });
+  this->messenger.SetHandler(Envelope::kLoanReturn,
+                             [this](const Envelope& e) { this->TakeBack(e); });
+}
+
+void LoanController::Start() {
+  this->care_timer.StartPeriodic(kCareInterval, [this] { this->TakeCare(); });
+}
+
+void LoanController::SetSlotListener(std::function<void()> listener) {
+  this->slot_listener = std::move(listener);
+}
+
+void LoanController::OnStarved() {
+  if (!this->enabled || this->board.draining) return;
+  for (auto& [service, load] : this->board.services) {
+    if (load.queued_tasks > 0) this->RequestFor(service, load);
+  }
+}
+
+void LoanController::RequestFor(const std::string& service, ServiceLoad& load) {
+  Demand& demand = this->demands[service];
+  const base::TimePoint now = this->clock.Now();
+  if (demand.asking || now < demand.next_ask) return;
+  const std::vector<std::string> lenders = this->LendersByPreference();
+  demand.next_ask = now + kAskInterval;
+  if (lenders.empty()) return;
+  demand.asking = true;
+  this->AskLender(service, lenders.front(),
+                  std::clamp(load.queued_tasks, kLeastRequest, kMostRequest));
+}
+
+std::vector<std::string> LoanController::LendersByPreference() const {
+  std::vector<std::pair<std::uint32_t, std::string>> local;
+  std::vector<std::pair<std::uint32_t, std::string>> remote;
+  for (const auto& [incarnation, member] : this->fleet_board.members) {
+    if (member.draining || !this->membership.IsLive(member)) continue;
+    const auto pause = this->empty_until.find(incarnation);
+    const bool paused =
+        pause != this->empty_until.end() && this->clock.Now() < pause->second;
+    if (paused) continue;
+    const bool is_local =
+        member.announce.domain() == this->fleet_board.self.domain();
+    (is_local ? local : remote).emplace_back(member.free_slots, incarnation);
+  }
+  std::sort(local.begin(), local.end(), ByFreeSlots);
+  std::sort(remote.begin(), remote.end(), ByFreeSlots);
+  std::vector<std::string> lenders;
+  for (const auto& [free, incarnation] : local) lenders.push_back(incarnation);
+  for (const auto& [free, incarnation] : remote) {
+    if (free > 0) lenders.push_back(incarnation);
+  }
+  return lenders;
+}
+
+void LoanController::AskLender(const std::string& service,
+                               const std::string& lender, std::uint32_t slots) {
+  wire::Envelope envelope;
+  envelope.mutable_loan_request()->set_service(service);
+  envelope.mutable_loan_request()->set_slots(slots);
+  this->metrics.Count("loans.requests");
+  const base::TimePoint asked_at = this->clock.Now();
+  this->messenger.Request(
+      this->fleet_board.members.at(lender).announce.peer_address(),
+      std::move(envelope), kAskTimeout,
+      [this, service, lender,
+       asked_at](const base::Result<wire::Envelope>& answer) {
+        this->OnGrant(service, lender, asked_at, answer);
+      });
+}
+
+void LoanController::OnGrant(const std::string& service,
+                             const std::string& lender,
+                             base::TimePoint asked_at,
+                             const base::Result<wire::Envelope>& answer) {
+  this->demands[service].asking = false;
+  const bool granted = answer && answer->has_loan_grant() &&
+                       answer->loan_grant().loans_size() > 0;
+  if (!granted) {
+    this->empty_until[lender] = this->clock.Now() + kEmptyPause;
+    return;
+  }
+  const wire::SlotLoanGrant& grant = answer->loan_grant();
+  // Counted from the asking, so that the lender's view of the lease lasts
+  // longer.
+  const base::TimePoint until = asked_at + milliseconds(grant.lease_ms());
+  wire::Envelope refused;
+  for (const wire::SlotLoan& loan : grant.loans()) {
+    if (this->TakeLoan(service, lender, loan, until)) continue;
+    *refused.mutable_loan_return()->add_loans() = loan;
+  }
+  if (refused.has_loan_return()) {
+    this->messenger.Notify(answer->sender_address(), std::move(refused));
+  }
+  this->metrics.Count("loans.taken");
+  if (this->slot_listener) this->slot_listener();
+}
+
+bool LoanController::TakeLoan(const std::string& service,
+                              const std::string& lender,
+                              const wire::SlotLoan& loan,
+                              base::TimePoint until) {
+  std::unique_ptr<EndpointState>& state =
+      this->board.endpoints[loan.endpoint()];
+  if (!state) {
+    state = std::make_unique<EndpointState>();
+    state->address = loan.endpoint();
+    state->domain = this->fleet_board.members.contains(lender)
+                        ? this->fleet_board.members.at(lender).announce.domain()
+                        : "";
+  }
+  EndpointState& endpoint = *state;
+  if (endpoint.owned) return false;
+  const bool other_loan =
+      endpoint.borrowed > 0 &&
+      (endpoint.lender != lender || endpoint.borrowed_for != service);
+  if (other_loan) return false;
+  if (endpoint.borrowed == 0) {
+    endpoint.lender = lender;
+    endpoint.borrowed_for = service;
+    this->board.services[service].pool.push_back(&endpoint);
+  }
+  endpoint.borrowed += loan.slots();
+  endpoint.borrowed_until = until;
+  endpoint.borrowed_used_at = this->clock.Now();
+  return true;
+}
+
+void LoanController::Lend(const wire::Envelope& request) {
+  wire::Envelope answer;
+  wire::SlotLoanGrant* grant = answer.mutable_loan_grant();
+  grant->set_lease_ms(static_cast<std::uint32_t>(kLease / milliseconds(1)));
+  const auto found =
+      this->board.services.find(request.loan_request().service());
+  if (found != this->board.services.end() && this->enabled) {
+    const base::TimePoint now = this->clock.Now();
+    std::vector<EndpointState*> pool = found->second.pool;
+    std::stable_sort(pool.begin(), pool.end(),
+                     [](const EndpointState* a, const EndpointState* b) {
+                       return a->slowness < b->slowness;
+                     });
+    std::uint32_t left = std::min(request.loan_request().slots(),
+                                  this->LendableSlots(found->second));
+    for (EndpointState* endpoint : pool) {
+      if (left == 0) break;
+      if (!endpoint->owned) continue;
+      const std::uint32_t slots = std::min(left, FreeSlots(*endpoint, now));
+      if (slots == 0) continue;
+      left -= slots;
+      endpoint->lent += slots;
+      Lent& lent = this->lent[{request.sender(), endpoint->address}];
+      lent.slots += slots;
+      lent.until = now + kLease;
+      wire::SlotLoan* loan = grant->add_loans();
+      loan->set_endpoint(endpoint->address);
+      loan->set_slots(slots);
+    }
+  }
+  this->messenger.Reply(request, std::move(answer));
+}
+
+std::uint32_t LoanController::LendableSlots(const ServiceLoad& load) const {
+  if (this->HasQueue() || this->board.draining) return 0;
+  const base::TimePoint now = this->clock.Now();
+  std::uint32_t free = 0;
+  for (const EndpointState* endpoint : load.pool) {
+    const bool healthy = endpoint->health == EndpointHealth::kHealthy;
+    if (endpoint->owned && healthy) free += FreeSlots(*endpoint, now);
+  }
+  return (free + kLendDivisor - 1) / kLendDivisor;
+}
+
+void LoanController::Renew(const wire::Envelope& request) {
+  wire::Envelope answer;
+  wire::SlotLoanGrant* grant = answer.mutable_loan_grant();
+  grant->set_lease_ms(static_cast<std::uint32_t>(kLease / milliseconds(1)));
+  const base::TimePoint now = this->clock.Now();
+  for (const wire::SlotLoan& loan : request.loan_renewal().loans()) {
+    const auto found = this->lent.find({request.sender(), loan.endpoint()});
+    if (found == this->lent.end()) continue;
+    found->second.until = now + kLease;
+    wire::SlotLoan* renewed = grant->add_loans();
+    renewed->set_endpoint(loan.endpoint());
+    renewed->set_slots(found->second.slots);
+  }
+  this->messenger.Reply(request, std::move(answer));
+}
+
+void LoanController::TakeBack(const wire::Envelope& message) {
+  for (const wire::SlotLoan& loan : message.loan_return().loans()) {
+    const auto found = this->lent.find({message.sender(), loan.endpoint()});
+    if (found == this->lent.end()) continue;
+    const std::uint32_t slots = std::min(loan.slots(), found->second.slots);
+    const auto endpoint = this->board.endpoints.find(loan.endpoint());
+    if (endpoint != this->board.endpoints.end()) {
+      endpoint->second->lent -= std::min(slots, endpoint->second->lent);
+    }
+    found->second.slots -= slots;
+    if (found->second.slots == 0) this->lent.erase(found);
+  }
+  if (this->slot_listener) this->slot_listener();
+}
+
+void LoanController::TakeCare() {
+  this->ExpireLent();
+  this->EndBorrowed();
+  if (this->clock.Now() >= this->next_renewal) {
+    this->next_renewal = this->clock.Now() + kRenewInterval;
+    this->RenewBorrowed();
+  }
+  this->OnStarved();
+}
+
+void LoanController::ExpireLent() {
+  const base::TimePoint now = this->clock.Now();
+  for (auto entry = this->lent.begin(); entry != this->lent.end();) {
+    if (now < entry->second.until) {
+      ++entry;
+      continue;
+    }
+    const auto endpoint = this->board.endpoints.find(entry->first.second);
+    if (endpoint != this->board.endpoints.end()) {
+      endpoint->second->lent -=
+          std::min(entry->second.slots, endpoint->second->lent);
+    }
+    this->metrics.Count("loans.lapsed");
+    entry = this->lent.erase(entry);
+  }
+}
+
+void LoanController::EndBorrowed() {
+  const base::TimePoint now = this->clock.Now();
+  for (auto& [address, endpoint] : this->board.endpoints) {
+    if (endpoint->borrowed == 0) continue;
+    if (now >= endpoint->borrowed_until || endpoint->owned) {
+      endpoint->borrowed = 0;
+      this->RemoveFromPool(*endpoint);
+      continue;
+    }
+    if (endpoint->running >= endpoint->borrowed) {
+      endpoint->borrowed_used_at = now;
+      continue;
+    }
+    if (now - endpoint->borrowed_used_at < kIdleBeforeReturn) continue;
+    this->ReturnSlots(*endpoint, endpoint->borrowed - endpoint->running);
+  }
+}
+
+void LoanController::ReturnSlots(EndpointState& endpoint, std::uint32_t slots) {
+  endpoint.borrowed -= slots;
+  endpoint.borrowed_used_at = this->clock.Now();
+  if (endpoint.borrowed == 0) this->RemoveFromPool(endpoint);
+  const auto lender = this->fleet_board.members.find(endpoint.lender);
+  if (lender == this->fleet_board.members.end()) return;
+  wire::Envelope envelope;
+  wire::SlotLoan* loan = envelope.mutable_loan_return()->add_loans();
+  loan->set_endpoint(endpoint.address);
+  loan->set_slots(slots);
+  this->metrics.Count("loans.returns");
+  this->messenger.Notify(lender->second.announce.peer_address(),
+                         std::move(envelope));
+}
+
+void LoanController::RenewBorrowed() {
+  std::map<std::string, wire::Envelope> renewals;
+  for (const auto& [address, endpoint] : this->board.endpoints) {
+    if (endpoint->borrowed == 0) continue;
+    wire::SlotLoan* loan =
+        renewals[endpoint->lender].mutable_loan_renewal()->add_loans();
+    loan->set_endpoint(address);
+    loan->set_slots(endpoint->borrowed);
+  }
+  const base::TimePoint asked_at = this->clock.Now();
+  for (auto& [lender, envelope] : renewals) {
+    const auto member = this->fleet_board.members.find(lender);
+    if (member == this->fleet_board.members.end()) continue;
+    this->metrics.Count("loans.renewals");
+    this->messenger.Request(
+        member->second.announce.peer_address(), std::move(envelope),
+        kRenewInterval,
+        [this, lender = lender,
+         asked_at](const base::Result<wire::Envelope>& answer) {
+          if (!answer || !answer->has_loan_grant()) return;
+          this->OnRenewed(lender, asked_at, answer->loan_grant());
+        });
+  }
+}
+
+void LoanController::OnRenewed(const std::string& lender,
+                               base::TimePoint asked_at,
+                               const wire::SlotLoanGrant& grant) {
+  for (const wire::SlotLoan& loan : grant.loans()) {
+    const auto found = this->board.endpoints.find(loan.endpoint());
+    if (found == this->board.endpoints.end()) continue;
+    EndpointState& endpoint = *found->second;
+    if (endpoint.borrowed == 0 || endpoint.lender != lender) continue;
+    endpoint.borrowed = std::min(endpoint.borrowed, loan.slots());
+    endpoint.borrowed_until = std::max(
+        endpoint.borrowed_until, asked_at + milliseconds(grant.lease_ms()));
+  }
+}
+
+void LoanController::RemoveFromPool(const EndpointState& endpoint) {
+  if (endpoint.owned) return;
+  const auto load = this->board.services.find(endpoint.borrowed_for);
+  if (load == this->board.services.end()) return;
+  std::erase(load->second.pool, &endpoint);
+}
+
+bool LoanController::HasQueue() const {
+  return std::any_of(
+      this->board.services.begin(), this->board.services.end(),
+      [](const auto& entry) { return entry.second.queued_tasks > 0; });
+}
+
+}  // namespace hawthornwheel::dispatch
--- /dev/null
+++ b/src/libs/dispatch/loan_controller.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/timer.h"
+#include "dispatch/dispatch_board.h"
+#include "fleet/fleet_board.h"
+
+namespace hawthornwheel::base {
+class Metrics;
+}
+namespace hawthornwheel::fleet {
+class MembershipController;
+class PeerMessenger;
+}  // namespace hawthornwheel::fleet
+
+namespace hawthornwheel::dispatch {
+
+/// Lends free slots to processes that have none, under leases, so that no
+/// message per task is needed. The home of a job still starts all its tasks
+/// itself. Processes of other failure domains are asked only when none of the
+/// own domain lends, since each task then pays the latency.
+///
+/// Owns on the blackboard: of EndpointState `lent`, `borrowed` and what goes
+/// with it, and the borrowed endpoints in the pools.
+class LoanController {
+ public:
+  /// All references must outlive the controller. It does nothing unless
+  /// `enabled`.
+  LoanController(base::Clock& clock, fleet::PeerMessenger& messenger,
+                 const fleet::FleetBoard& fleet_board,
+                 const fleet::MembershipController& membership,
+                 DispatchBoard& board, base::Metrics& metrics, bool enabled);
+
+  /// Starts the care of leases.
+  void Start();
+
+  /// Asks for slots for services whose queue has no free slot here.
+  void OnStarved();
+
+  /// Sets the function called after slots were gained.
+  void SetSlotListener(std::function<void()> listener);
+
+ private:
+  /// Slots lent to one process at one endpoint.
+  struct Lent {
+    std::uint32_t slots = 0;
+    base::TimePoint until;
+  };
+  using LentKey = std::pair<std::string, std::string>;
+
+  /// When a process is asked for a service again.
+  struct Demand {
+    bool asking = false;
+    base::TimePoint next_ask;
+  };
+
+  void RequestFor(const std::string& service, ServiceLoad& load);
+  std::vector<std::string> LendersByPreference() const;
+  void AskLender(const std::string& service, const std::string& lender,
+                 std::uint32_t slots);
+  void OnGrant(const std::string& service, const std::string& lender,
+               base::TimePoint asked_at,
+               const base::Result<wire::Envelope>& answer);
+  bool TakeLoan(const std::string& service, const std::string& lender,
+                const wire::SlotLoan& loan, base::TimePoint until);
+
+  void Lend(const wire::Envelope& request);
+  void Renew(const wire::Envelope& request);
+  void TakeBack(const wire::Envelope& message);
+  std::uint32_t LendableSlots(const ServiceLoad& load) const;
+
+  void TakeCare();
+  void ExpireLent();
+  void EndBorrowed();
+  void ReturnSlots(EndpointState& endpoint, std::uint32_t slots);
+  void RenewBorrowed();
+  void OnRenewed(const std::string& lender, base::TimePoint asked_at,
+                 const wire::SlotLoanGrant& grant);
+  void RemoveFromPool(const EndpointState& endpoint);
+  bool HasQueue() const;
+
+  base::Clock& clock;
+  fleet::PeerMessenger& messenger;
+  const fleet::FleetBoard& fleet_board;
+  const fleet::MembershipController& membership;
+  DispatchBoard& board;
+  base::Metrics& metrics;
+  bool enabled;
+  base::Timer care_timer;
+  std::function<void()> slot_listener;
+  std::map<LentKey, Lent> lent;
+  std::map<std::string, Demand> demands;
+  /// Until when a process is not asked again, after it had nothing to lend.
+  std::map<std::string, base::TimePoint> empty_until;
+  base::TimePoint next_renewal;
+};
+
+}  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/routing_controller.cc
+++ b/src/libs/dispatch/routing_controller.cc
@@ -30,6 +30,10 @@
   this->expiry_listener = std::move(listener);
 }
 
+void RoutingController::SetStarvedListener(std::function<void()> listener) {
+  this->starved_listener = std::move(listener);
+}
+
 void RoutingController::Run() {
   if (this->running) {
     this->run_again = true;
@@ -42,6 +46,7 @@
     }
   } while (this->run_again);
   this->running = false;
+  if (this->starved_listener) this->starved_listener();
 }
 
 bool RoutingController::StartOne() {
--- a/src/libs/dispatch/routing_controller.h
+++ b/src/libs/dispatch/routing_controller.h
@@ -28,6 +28,9 @@
 
   void SetExpiryListener(ExpiryListener listener);
 
+  /// Sets the function called after Run() has left tasks in the queue.
+  void SetStarvedListener(std::function<void()> listener);
+
   /// Starts what can be started. A call from within is taken up at its end.
   void Run();
 
@@ -46,6 +49,7 @@
   EndpointSelector& selector;
   base::Metrics& metrics;
   ExpiryListener expiry_listener;
+  std::function<void()> starved_listener;
   bool running = false;
   bool run_again = false;
 };
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -14,7 +14,6 @@
 #include "callers/caller_front.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/drain_controller.h"
-#include "dispatch/fastest_selector.h"
 #include "endpoints/http_endpoint_client.h"
 #include "peers/zmq_transport.h"
 #include "platform/http_platform_client.h"
@@ -55,7 +54,6 @@
   platform::HttpPlatformClient platform;
   peers::ZmqTransport transport;
   endpoints::HttpEndpointClient endpoints;
-  dispatch::FastestSelector selector;
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
   std::unique_ptr<callers::CallerFront> callers;
   std::unique_ptr<admin::AdminFront> admin;
@@ -77,8 +75,7 @@
   self.set_peer_address(*peer);
   const dispatch::DispatcherParts parts{this->d->clock,     this->d->platform,
                                         this->d->platform,  this->d->transport,
-                                        this->d->endpoints, this->d->selector,
-                                        this->d->metrics};
+                                        this->d->endpoints, this->d->metrics};
   this->d->dispatcher = std::make_unique<dispatch::Dispatcher>(
       parts, self, this->d->settings.fleet, this->d->settings.dispatch);
   this->d->callers = std::make_unique<callers::CallerFront>(
--- a/tests/support/test_process.cc
+++ b/tests/support/test_process.cc
@@ -29,7 +29,7 @@
       platform(world.platform, world.clock, this->clock, world.random, domain),
       endpoints(world.endpoints, world.clock, this->clock, kEndpointLatency),
       dispatcher({this->clock, this->platform, this->platform, this->transport,
-                  this->endpoints, this->selector, this->metrics},
+                  this->endpoints, this->metrics},
                  Announce(incarnation, domain, address), fleet_settings,
                  dispatch_settings) {}
 
--- a/tests/support/test_process.h
+++ b/tests/support/test_process.h
@@ -5,7 +5,6 @@
 
 #include "base/metrics.h"
 #include "dispatch/dispatcher.h"
-#include "dispatch/fastest_selector.h"
 #include "support/fake_endpoint_client.h"
 #include "support/fake_network.h"
 #include "support/fake_platform.h"
@@ -40,7 +39,6 @@
   FakeTransport transport;
   FakePlatformClient platform;
   FakeEndpointClient endpoints;
-  dispatch::FastestSelector selector;
   dispatch::Dispatcher dispatcher;
 };
 
