Balanced ownership, and loans that ask later and last longer

Cause: hashing gave uneven shares, and a blip of 1 ms in a queue cost a request, a grant, renewals and a return. Change: rendezvous hashing with bounded loads; a queue must starve for 15 ms before a peer is asked; leases of 3 s renewed every second; slots idle for 600 ms go back. The bench counts messages until the last arrival, not after.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -29,6 +29,7 @@
 ABSL_FLAG(int, seconds, 60, "Measured virtual seconds.");
 ABSL_FLAG(int, processes, 3, "Dispatchers of the domain.");
 ABSL_FLAG(int, endpoints, 17, "Endpoints of the domain.");
+ABSL_FLAG(bool, verbose, false, "Prints the counters of all processes.");
 ABSL_FLAG(bool, loans, true, "Whether processes lend slots.");
 ABSL_FLAG(std::string, routing, "fastest", "Endpoint selector.");
 
@@ -194,6 +195,7 @@
         failing_starts += endpoint.starts;
       }
     }
+    if (absl::GetFlag(FLAGS_verbose)) this->PrintCounters();
     fmt::print("{:<18} wasted/task={:.4f} overrun={} failing_share={:.4f}\n",
                this->scenario.name, wasted / std::max(1.0, double(useful)),
                overrun, Share(failing_starts, starts));
@@ -204,6 +206,18 @@
     return whole == 0 ? 0 : double(part) / double(whole);
   }
 
+  void PrintCounters() const {
+    std::map<std::string, double> sums;
+    for (const auto& process : this->processes) {
+      for (const base::MetricSample& sample : process->metrics.Report()) {
+        sums[sample.name] += sample.value;
+      }
+    }
+    for (const auto& [name, value] : sums) {
+      fmt::print("  {}={:.0f}\n", name, value);
+    }
+  }
+
   void Publish() {
     std::string addresses;
     for (const BenchEndpoint& spec : this->specs) {
@@ -256,9 +270,9 @@
       });
     }
     this->Play(arrivals, &ideal);
-    this->clock.Advance(kTail);
     this->messages_sent =
         this->fakes.Messages() + this->PeerMessages() - before;
+    this->clock.Advance(kTail);
   }
 
   // A flood has no ideal of its own; the others' ideal is without it.
--- a/src/libs/dispatch/endpoint_controller.cc
+++ b/src/libs/dispatch/endpoint_controller.cc
@@ -38,29 +38,47 @@
 void EndpointController::Rebuild() {
   this->candidates = this->Candidates();
   this->configured.clear();
-  for (auto& [name, load] : this->board.services) {
-    load.pool.clear();
-    load.configured_endpoints = 0;
-  }
   for (auto& [address, endpoint] : this->board.endpoints) {
     endpoint->slots = 0;
     endpoint->owned = false;
   }
+  std::map<std::string, std::vector<fleet::EndpointSpec>> specs;
   for (const auto& [name, state] : this->fleet_board.config.Services()) {
     if (!state.config) continue;
-    ServiceLoad& load = this->board.services[name];
-    for (const fleet::EndpointSpec& spec : this->EndpointsOf(*state.config)) {
-      ++load.configured_endpoints;
-      this->AddToPool(*state.config, spec, load);
+    specs[name] = this->EndpointsOf(*state.config);
+    for (const fleet::EndpointSpec& spec : specs[name]) {
+      this->Configure(*state.config, spec);
     }
     this->board.queue.SetWeights({state.config->team, name},
                                  state.config->team_weight,
                                  state.config->weight);
   }
+  this->AssignOwners();
+  this->FillPools(specs);
   this->UpdateHeldSlots();
   this->DropUnused();
 }
 
+void EndpointController::FillPools(
+    const std::map<std::string, std::vector<fleet::EndpointSpec>>& specs) {
+  for (auto& [name, load] : this->board.services) {
+    load.pool.clear();
+    load.configured_endpoints = 0;
+  }
+  for (const auto& [name, endpoints] : specs) {
+    ServiceLoad& load = this->board.services[name];
+    load.configured_endpoints = static_cast<std::uint32_t>(endpoints.size());
+    for (const fleet::EndpointSpec& spec : endpoints) {
+      const auto found = this->board.endpoints.find(spec.address);
+      if (found == this->board.endpoints.end()) continue;
+      EndpointState& endpoint = *found->second;
+      const bool borrowed =
+          endpoint.borrowed > 0 && endpoint.borrowed_for == name;
+      if (endpoint.owned || borrowed) load.pool.push_back(&endpoint);
+    }
+  }
+}
+
 void EndpointController::UpdateHeldSlots() {
   for (auto& [address, endpoint] : this->board.endpoints) {
     endpoint->held_by_others = 0;
@@ -117,9 +135,8 @@
   return specs;
 }
 
-void EndpointController::AddToPool(const fleet::ServiceConfig& config,
-                                   const fleet::EndpointSpec& spec,
-                                   ServiceLoad& load) {
+void EndpointController::Configure(const fleet::ServiceConfig& config,
+                                   const fleet::EndpointSpec& spec) {
   if (spec.domain != this->fleet_board.self.domain()) return;
   this->configured.insert(spec.address);
   std::unique_ptr<EndpointState>& state = this->board.endpoints[spec.address];
@@ -134,23 +151,49 @@
   state->connections = is_first
                            ? config.connections
                            : std::min(state->connections, config.connections);
-  state->owned = this->OwnsEndpoint(spec.address);
   state->leaving = this->leaving.IsLeaving(spec.address);
-  if (state->owned || state->borrowed > 0) load.pool.push_back(state.get());
 }
 
-bool EndpointController::OwnsEndpoint(const std::string& address) const {
-  const Candidate* owner = nullptr;
+void EndpointController::AssignOwners() {
+  std::vector<Claim> claims;
+  double slots = 0;
+  for (const std::string& address : this->configured) {
+    EndpointState* endpoint = this->board.endpoints.at(address).get();
+    claims.push_back({XXH64(address.data(), address.size(), 0), endpoint});
+    slots += endpoint->slots;
+  }
+  // Every process of the domain must go through the claims in one order.
+  std::sort(claims.begin(), claims.end(), [](const Claim& a, const Claim& b) {
+    return a.hash != b.hash ? a.hash < b.hash
+                            : a.endpoint->address < b.endpoint->address;
+  });
+  double weights = 0;
+  for (const Candidate& one : this->candidates) weights += one.weight;
+  for (Candidate& one : this->candidates) {
+    one.limit = slots * one.weight / weights;
+  }
+  for (const Claim& claim : claims) {
+    Candidate* owner = this->FindOwner(claim.endpoint->address);
+    if (owner == nullptr) continue;
+    owner->given += claim.endpoint->slots;
+    claim.endpoint->owned =
+        owner->incarnation == this->fleet_board.self.incarnation();
+  }
+}
+
+EndpointController::Candidate* EndpointController::FindOwner(
+    const std::string& address) {
+  Candidate* owner = nullptr;
   double best = 0;
-  for (const Candidate& candidate : this->candidates) {
+  for (Candidate& candidate : this->candidates) {
+    if (candidate.given >= candidate.limit) continue;
     const double score =
         OwnerScore(candidate.incarnation, address, candidate.weight);
     if (owner != nullptr && score <= best) continue;
     owner = &candidate;
     best = score;
   }
-  return owner != nullptr &&
-         owner->incarnation == this->fleet_board.self.incarnation();
+  return owner;
 }
 
 std::vector<EndpointController::Candidate> EndpointController::Candidates()
--- a/src/libs/dispatch/endpoint_controller.h
+++ b/src/libs/dispatch/endpoint_controller.h
@@ -18,8 +18,8 @@
 
 /// Derives the endpoints that this process may use from the configuration, the
 /// list of VMs and the live members of the failure domain. Each endpoint of the
-/// domain has one owner among them, by weighted rendezvous hashing, so that no
-/// message per task is needed to keep its slots.
+/// domain has one owner among them, by weighted rendezvous hashing with bounded
+/// loads, so that no message per task is needed to keep its slots.
 ///
 /// Owns on the blackboard: `endpoints` (the set, slots, ownership, leaving) and
 /// the pools of `services`.
@@ -44,16 +44,29 @@
   void DropUnused();
 
  private:
+  /// Live process that may own endpoints.
   struct Candidate {
     std::string incarnation;
     double weight = 1;
+    /// Slots it may own, and those given to it so far.
+    double limit = 0;
+    double given = 0;
+  };
+
+  /// Endpoint of the own domain whose owner is to be found.
+  struct Claim {
+    std::uint64_t hash = 0;
+    EndpointState* endpoint = nullptr;
   };
 
   std::vector<fleet::EndpointSpec> EndpointsOf(
       const fleet::ServiceConfig& config) const;
-  void AddToPool(const fleet::ServiceConfig& config,
-                 const fleet::EndpointSpec& spec, ServiceLoad& load);
-  bool OwnsEndpoint(const std::string& address) const;
+  void Configure(const fleet::ServiceConfig& config,
+                 const fleet::EndpointSpec& spec);
+  void FillPools(
+      const std::map<std::string, std::vector<fleet::EndpointSpec>>& specs);
+  void AssignOwners();
+  Candidate* FindOwner(const std::string& address);
   std::vector<Candidate> Candidates() const;
 
   base::Clock& clock;
--- a/src/libs/dispatch/loan_controller.cc
+++ b/src/libs/dispatch/loan_controller.cc
@@ -13,13 +13,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Duration kLease = milliseconds(1500);
-constexpr base::Duration kRenewInterval = milliseconds(500);
+constexpr base::Duration kLease = milliseconds(3000);
+constexpr base::Duration kRenewInterval = milliseconds(1000);
 constexpr base::Duration kCareInterval = milliseconds(50);
 constexpr base::Duration kAskTimeout = milliseconds(200);
 constexpr base::Duration kAskInterval = milliseconds(20);
+// A queue that a free slot of the own will end sooner is not worth a message.
+constexpr base::Duration kStarvedBeforeAsking = milliseconds(15);
 constexpr base::Duration kEmptyPause = milliseconds(100);
-constexpr base::Duration kIdleBeforeReturn = milliseconds(300);
+constexpr base::Duration kIdleBeforeReturn = milliseconds(600);
 constexpr std::uint32_t kLeastRequest = 4;
 constexpr std::uint32_t kMostRequest = 64;
 // Part of its free slots that a lender gives away at once.
@@ -45,7 +47,8 @@
       board(board),
       metrics(metrics),
       enabled(enabled),
-      care_timer(clock) {
+      care_timer(clock),
+      ask_timer(clock) {
   using wire::Envelope;
   this->messenger.SetHandler(Envelope::kLoanRequest,
                              [this](const Envelope& e) { this->Lend(e); });
@@ -65,8 +68,24 @@
 
 void LoanController::OnStarved() {
   if (!this->enabled || this->board.draining) return;
+  const base::TimePoint now = this->clock.Now();
   for (auto& [service, load] : this->board.services) {
-    if (load.queued_tasks > 0) this->RequestFor(service, load);
+    Demand& demand = this->demands[service];
+    if (load.queued_tasks == 0) {
+      demand.starved = false;
+      continue;
+    }
+    if (!demand.starved) {
+      demand.starved = true;
+      demand.starved_since = now;
+    }
+    const base::Duration starved = now - demand.starved_since;
+    if (starved >= kStarvedBeforeAsking) {
+      this->RequestFor(service, load);
+    } else if (!this->ask_timer.IsActive()) {
+      this->ask_timer.StartOnce(kStarvedBeforeAsking - starved,
+                                [this] { this->OnStarved(); });
+    }
   }
 }
 
--- a/src/libs/dispatch/loan_controller.h
+++ b/src/libs/dispatch/loan_controller.h
@@ -58,6 +58,8 @@
   /// When a process is asked for a service again.
   struct Demand {
     bool asking = false;
+    bool starved = false;
+    base::TimePoint starved_since;
     base::TimePoint next_ask;
   };
 
@@ -94,6 +96,7 @@
   base::Metrics& metrics;
   bool enabled;
   base::Timer care_timer;
+  base::Timer ask_timer;
   std::function<void()> slot_listener;
   std::map<LentKey, Lent> lent;
   std::map<std::string, Demand> demands;
