--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -31,7 +31,7 @@
 ABSL_FLAG(int, endpoints, 17, "Endpoints of the domain.");
 ABSL_FLAG(bool, verbose, false, "Prints the counters of all processes.");
 ABSL_FLAG(bool, loans, true, "Whether processes lend slots.");
-ABSL_FLAG(std::string, routing, "fastest", "Endpoint selector.");
+ABSL_FLAG(std::string, routing, "earliest", "Endpoint selector.");
 
 namespace hawthornwheel::bench {
 namespace {
--- a/src/libs/admin/state_dump.cc
+++ b/src/libs/admin/state_dump.cc
@@ -119,7 +119,7 @@
     Set(*object, "running_tasks", load.running_tasks);
     Set(*object, "endpoints", double(load.pool.size()));
     Set(*object, "mean_run_time_ms",
-        double(load.mean_run_time.count()) / kMicrosecondsPerMillisecond);
+        double(load.run_time.Mean().count()) / kMicrosecondsPerMillisecond);
     Set(*object, "failure_share", load.failure_share);
   }
 }
--- a/src/libs/dispatch/admission_controller.cc
+++ b/src/libs/dispatch/admission_controller.cc
@@ -169,7 +169,7 @@
     if (!endpoint->leaving) slots += UsableSlots(*endpoint, now);
   }
   if (slots == 0 || load.queued_tasks == 0) return base::Duration{0};
-  return load.mean_run_time * load.queued_tasks /
+  return load.run_time.Mean() * load.queued_tasks /
          static_cast<base::Duration::rep>(slots);
 }
 
--- a/src/libs/dispatch/attempt_controller.cc
+++ b/src/libs/dispatch/attempt_controller.cc
@@ -70,6 +70,7 @@
   attempt.task = task_index;
   attempt.endpoint = &endpoint;
   attempt.service = job.service;
+  attempt.declared_run_time = task.declared_run_time;
   attempt.started_at = now;
   attempt.lease_until = now + job.service->lease;
   attempt.timeout_timer = this->clock.StartTimer(
@@ -123,9 +124,7 @@
   const std::uint32_t task = attempt.task;
   this->metrics.Count(
       fmt::format("attempts.{}", AttemptOutcomeName(result.outcome)));
-  this->health.OnOutcome(
-      *attempt.endpoint, this->board.services[attempt.service->name],
-      result.outcome, this->clock.Now() - attempt.started_at);
+  this->health.OnOutcome(attempt, result.outcome);
   if (result.outcome == AttemptOutcome::kRefusedLeaving) {
     this->leaving.MarkLeaving(attempt.endpoint->address);
   }
--- a/src/libs/dispatch/dispatch_board.h
+++ b/src/libs/dispatch/dispatch_board.h
@@ -10,6 +10,7 @@
 #include "dispatch/endpoint_state.h"
 #include "dispatch/fair_queue.h"
 #include "dispatch/job.h"
+#include "dispatch/run_time_estimator.h"
 
 namespace hawthornwheel::dispatch {
 
@@ -21,6 +22,7 @@
   std::uint32_t task = 0;
   EndpointState* endpoint = nullptr;
   std::shared_ptr<const fleet::ServiceConfig> service;
+  base::Duration declared_run_time{0};
   base::TimePoint started_at;
   base::TimePoint lease_until;
   base::TimerId timeout_timer = 0;
@@ -31,9 +33,7 @@
 struct ServiceLoad {
   std::uint32_t queued_tasks = 0;
   std::uint32_t running_tasks = 0;
-  /// Learned run time of a task at an endpoint of mean speed.
-  base::Duration mean_run_time{0};
-  std::uint64_t completed = 0;
+  RunTimeEstimator run_time;
   /// Learned share of attempts that failed at endpoints.
   double failure_share = 0;
   /// Retries still allowed, as a count that starts refill.
--- a/src/libs/dispatch/dispatch_settings.h
+++ b/src/libs/dispatch/dispatch_settings.h
@@ -17,7 +17,7 @@
   static DispatchSettings Read(base::SettingsReader& reader);
 
   /// Name of the endpoint selector.
-  std::string routing = "fastest";
+  std::string routing = "earliest";
   /// Whether processes lend each other slots that are free.
   bool lend_slots = true;
   base::Duration epoch_length{30'000'000};
--- a/src/libs/dispatch/endpoint_selector.h
+++ b/src/libs/dispatch/endpoint_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
 #include "base/clock.h"
@@ -7,14 +8,26 @@
 
 namespace hawthornwheel::dispatch {
 
-/// Chooses the endpoint for one attempt.
+/// What the choice of an endpoint for one task depends on.
+struct SelectionRequest {
+  const std::vector<EndpointState*>& pool;
+  base::TimePoint now;
+  /// Expected run time of the task at an endpoint of mean speed.
+  base::Duration expected{0};
+  /// Mean run time of the service's tasks there.
+  base::Duration mean{0};
+  /// Tasks of the service that wait, this one included.
+  std::uint32_t queued = 0;
+};
+
+/// Chooses the endpoint for one task.
 class EndpointSelector {
  public:
   virtual ~EndpointSelector() = default;
 
-  /// An endpoint of `pool` with a free slot at `now`, or null.
-  virtual EndpointState* Select(const std::vector<EndpointState*>& pool,
-                                base::TimePoint now) = 0;
+  /// An endpoint of the pool with a free slot; null when there is none, or when
+  /// the task ends earlier by waiting for a faster one.
+  virtual EndpointState* Select(const SelectionRequest& request) = 0;
 };
 
 }  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/fastest_selector.cc
+++ b/src/libs/dispatch/fastest_selector.cc
@@ -4,12 +4,11 @@
 
 namespace hawthornwheel::dispatch {
 
-EndpointState* FastestSelector::Select(const std::vector<EndpointState*>& pool,
-                                       base::TimePoint now) {
+EndpointState* FastestSelector::Select(const SelectionRequest& request) {
   EndpointState* best = nullptr;
   std::uint32_t best_free = 0;
-  for (EndpointState* endpoint : pool) {
-    const std::uint32_t free = FreeSlots(*endpoint, now);
+  for (EndpointState* endpoint : request.pool) {
+    const std::uint32_t free = FreeSlots(*endpoint, request.now);
     if (free == 0) continue;
     const bool better =
         best == nullptr || endpoint->slowness < best->slowness ||
--- a/src/libs/dispatch/fastest_selector.h
+++ b/src/libs/dispatch/fastest_selector.h
@@ -8,8 +8,7 @@
 /// one with most free slots.
 class FastestSelector final : public EndpointSelector {
  public:
-  EndpointState* Select(const std::vector<EndpointState*>& pool,
-                        base::TimePoint now) override;
+  EndpointState* Select(const SelectionRequest& request) override;
 };
 
 }  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/health_controller.cc
+++ b/src/libs/dispatch/health_controller.cc
@@ -11,8 +11,6 @@
 constexpr base::Logger kLog("health");
 
 constexpr double kSpeedGain = 0.1;
-constexpr double kRunTimeGain = 0.02;
-constexpr std::uint64_t kRunTimeWarmUp = 50;
 constexpr double kEndpointFailureGain = 0.2;
 constexpr double kServiceFailureGain = 0.02;
 constexpr std::uint32_t kFailuresBeforeQuarantine = 3;
@@ -33,45 +31,49 @@
                                    const DispatchSettings& settings)
     : clock(clock), board(board), metrics(metrics), settings(settings) {}
 
-void HealthController::OnOutcome(EndpointState& endpoint, ServiceLoad& load,
-                                 AttemptOutcome outcome,
-                                 base::Duration run_time) {
+void HealthController::OnOutcome(const Attempt& attempt,
+                                 AttemptOutcome outcome) {
+  ServiceLoad& load = this->board.services[attempt.service->name];
   switch (outcome) {
     case AttemptOutcome::kCompleted:
-      this->OnSuccess(endpoint, load, run_time);
+      this->OnSuccess(attempt, load);
       break;
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kUnknown:
     case AttemptOutcome::kNotSent:
     case AttemptOutcome::kRefused:
-      this->OnFailure(endpoint, load);
+      this->OnFailure(*attempt.endpoint, load);
       break;
     case AttemptOutcome::kRefusedLeaving:
       break;
   }
 }
 
-void HealthController::OnSuccess(EndpointState& endpoint, ServiceLoad& load,
-                                 base::Duration run_time) {
+void HealthController::OnSuccess(const Attempt& attempt, ServiceLoad& load) {
+  EndpointState& endpoint = *attempt.endpoint;
   ++endpoint.completed;
-  ++load.completed;
   endpoint.failures_in_row = 0;
   endpoint.failure_share *= 1 - kEndpointFailureGain;
   load.failure_share *= 1 - kServiceFailureGain;
-  const auto took = static_cast<double>(run_time.count());
-  const auto mean = static_cast<double>(load.mean_run_time.count());
-  // The mean starts as the average of what was seen, so that the first task
-  // does not weigh for long.
-  const double gain = std::max(
-      kRunTimeGain,
-      1.0 / static_cast<double>(std::min(load.completed, kRunTimeWarmUp)));
-  const double at_mean_speed = took / endpoint.slowness;
-  load.mean_run_time = base::Duration(
-      static_cast<base::Duration::rep>(mean + gain * (at_mean_speed - mean)));
-  if (mean > 0) {
-    const double ratio = std::clamp(took / mean, kLeastSlowness, kMostSlowness);
+  const base::Duration took = this->clock.Now() - attempt.started_at;
+  const base::Duration expected =
+      load.run_time.Mean().count() > 0
+          ? load.run_time.Expect(attempt.declared_run_time)
+          : base::Duration{0};
+  load.run_time.Observe(
+      attempt.declared_run_time,
+      base::Duration(static_cast<base::Duration::rep>(
+          static_cast<double>(took.count()) / endpoint.slowness)));
+  if (expected.count() > 0) {
+    const double ratio = std::clamp(static_cast<double>(took.count()) /
+                                        static_cast<double>(expected.count()),
+                                    kLeastSlowness, kMostSlowness);
     endpoint.slowness += kSpeedGain * (ratio - endpoint.slowness);
   }
+  this->OnProbeSuccess(endpoint);
+}
+
+void HealthController::OnProbeSuccess(EndpointState& endpoint) {
   if (endpoint.health != EndpointHealth::kProbing) return;
   if (++endpoint.probe_successes < kProbesToReturn) return;
   endpoint.health = EndpointHealth::kHealthy;
--- a/src/libs/dispatch/health_controller.h
+++ b/src/libs/dispatch/health_controller.h
@@ -22,16 +22,15 @@
   HealthController(base::Clock& clock, DispatchBoard& board,
                    base::Metrics& metrics, const DispatchSettings& settings);
 
-  /// Takes the outcome of an attempt that took `run_time`.
-  void OnOutcome(EndpointState& endpoint, ServiceLoad& load,
-                 AttemptOutcome outcome, base::Duration run_time);
+  /// Takes the outcome of an attempt that ends now.
+  void OnOutcome(const Attempt& attempt, AttemptOutcome outcome);
 
   /// Lets endpoints whose quarantine has passed be probed.
   void ReleaseQuarantines();
 
  private:
-  void OnSuccess(EndpointState& endpoint, ServiceLoad& load,
-                 base::Duration run_time);
+  void OnSuccess(const Attempt& attempt, ServiceLoad& load);
+  void OnProbeSuccess(EndpointState& endpoint);
   void OnFailure(EndpointState& endpoint, ServiceLoad& load);
   bool MayQuarantine(const EndpointState& endpoint,
                      const ServiceLoad& load) const;
--- a/src/libs/dispatch/least_loaded_selector.cc
+++ b/src/libs/dispatch/least_loaded_selector.cc
@@ -4,12 +4,11 @@
 
 namespace hawthornwheel::dispatch {
 
-EndpointState* LeastLoadedSelector::Select(
-    const std::vector<EndpointState*>& pool, base::TimePoint now) {
+EndpointState* LeastLoadedSelector::Select(const SelectionRequest& request) {
   EndpointState* best = nullptr;
   std::uint32_t best_free = 0;
-  for (EndpointState* endpoint : pool) {
-    const std::uint32_t free = FreeSlots(*endpoint, now);
+  for (EndpointState* endpoint : request.pool) {
+    const std::uint32_t free = FreeSlots(*endpoint, request.now);
     if (free <= best_free) continue;
     best = endpoint;
     best_free = free;
--- a/src/libs/dispatch/routing_controller.cc
+++ b/src/libs/dispatch/routing_controller.cc
@@ -42,6 +42,7 @@
   this->running = true;
   do {
     this->run_again = false;
+    this->held.clear();
     while (this->StartOne()) {
     }
   } while (this->run_again);
@@ -55,30 +56,51 @@
       [this](JobId job) { return this->IsLive(job); });
   if (id == 0) return false;
   Job& job = *this->board.jobs.at(id);
-  ServiceLoad& load = this->board.services[job.service->name];
   // The process may have been paused; only a clock read now tells whether the
   // deadline and the leases still hold.
   const base::TimePoint now = this->clock.Now();
-  EndpointState* endpoint = this->selector.Select(load.pool, now);
-  if (endpoint == nullptr) return false;
-  const std::uint32_t index = job.queued.back();
-  Task& task = job.tasks[index];
-  if (!this->CanMakeDeadline(job, task, *endpoint, now)) {
+  const Choice choice = this->Choose(job, now);
+  if (choice.endpoint == nullptr) {
+    this->held.insert(job.service->name);
+    return true;
+  }
+  const std::uint32_t index = job.queued[choice.position];
+  if (!this->CanMakeDeadline(job, job.tasks[index], *choice.endpoint, now)) {
     this->metrics.Count("routing.deadline_out_of_reach");
     this->expiry_listener(id);
     return true;
   }
-  job.queued.pop_back();
-  --load.queued_tasks;
+  job.queued.erase(job.queued.begin() +
+                   static_cast<std::ptrdiff_t>(choice.position));
+  --this->board.services[job.service->name].queued_tasks;
   this->board.queue.Charge({job.service->team, job.service->name, job.urgency},
-                           this->CostOf(job, task));
-  this->attempts.StartAttempt(job, index, *endpoint);
+                           this->CostOf(job, job.tasks[index]));
+  this->attempts.StartAttempt(job, index, *choice.endpoint);
   return true;
 }
 
+RoutingController::Choice RoutingController::Choose(const Job& job,
+                                                    base::TimePoint now) {
+  // The longest task goes first. When it is better off waiting for a faster
+  // endpoint, the shortest may still start at a slow one.
+  const std::size_t longest = job.queued.size() - 1;
+  EndpointState* endpoint =
+      this->SelectFor(job, job.tasks[job.queued[longest]], now);
+  if (endpoint != nullptr || longest == 0) return {longest, endpoint};
+  return {0, this->SelectFor(job, job.tasks[job.queued[0]], now)};
+}
+
+EndpointState* RoutingController::SelectFor(const Job& job, const Task& task,
+                                            base::TimePoint now) {
+  const ServiceLoad& load = this->board.services[job.service->name];
+  return this->selector.Select({load.pool, now,
+                                load.run_time.Expect(task.declared_run_time),
+                                load.run_time.Mean(), load.queued_tasks});
+}
+
 bool RoutingController::IsEligible(const std::string& service) const {
   const ServiceLoad& load = this->board.services.at(service);
-  if (load.queued_tasks == 0) return false;
+  if (load.queued_tasks == 0 || this->held.contains(service)) return false;
   const base::TimePoint now = this->clock.Now();
   return std::any_of(load.pool.begin(), load.pool.end(),
                      [now](const EndpointState* endpoint) {
@@ -95,22 +117,22 @@
 bool RoutingController::CanMakeDeadline(const Job& job, const Task& task,
                                         const EndpointState& endpoint,
                                         base::TimePoint now) const {
-  static_cast<void>(task);
   const base::Duration left = job.deadline - now;
   if (left <= base::Duration{0}) return false;
-  const auto mean = static_cast<double>(
-      this->board.services.at(job.service->name).mean_run_time.count());
+  const RunTimeEstimator& run_time =
+      this->board.services.at(job.service->name).run_time;
+  if (run_time.Mean().count() == 0) return true;
+  const auto expected =
+      static_cast<double>(run_time.Expect(task.declared_run_time).count());
   return static_cast<double>(left.count()) >=
-         kLeastDeadlineShare * mean * endpoint.slowness;
+         kLeastDeadlineShare * expected * endpoint.slowness;
 }
 
 double RoutingController::CostOf(const Job& job, const Task& task) const {
   const ServiceLoad& load = this->board.services.at(job.service->name);
-  const base::Duration expected = load.mean_run_time.count() > 0
-                                      ? load.mean_run_time
-                                      : task.declared_run_time;
   return std::max(kLeastCostMicroseconds,
-                  static_cast<double>(expected.count()));
+                  static_cast<double>(
+                      load.run_time.Expect(task.declared_run_time).count()));
 }
 
 }  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/routing_controller.h
+++ b/src/libs/dispatch/routing_controller.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <set>
+#include <string>
 
 #include "base/clock.h"
 #include "dispatch/dispatch_board.h"
@@ -35,6 +37,15 @@
   void Run();
 
  private:
+  /// Task of a job, by its position in `queued`, and where it starts.
+  struct Choice {
+    std::size_t position = 0;
+    EndpointState* endpoint = nullptr;
+  };
+
+  Choice Choose(const Job& job, base::TimePoint now);
+  EndpointState* SelectFor(const Job& job, const Task& task,
+                           base::TimePoint now);
   bool StartOne();
   bool IsEligible(const std::string& service) const;
   bool IsLive(JobId id) const;
@@ -50,6 +61,8 @@
   base::Metrics& metrics;
   ExpiryListener expiry_listener;
   std::function<void()> starved_listener;
+  /// Services whose next task waits for a faster endpoint in this run.
+  std::set<std::string> held;
   bool running = false;
   bool run_again = false;
 };
--- /dev/null
+++ b/src/libs/dispatch/run_time_estimator.cc
@@ -0,0 +1,51 @@
+#include "dispatch/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+constexpr double kGain = 0.02;
+constexpr std::uint64_t kWarmUp = 50;
+constexpr double kLeastRatio = 1e-4;
+constexpr double kMostRatio = 1e4;
+
+base::Duration ToDuration(double microseconds) {
+  return base::Duration(static_cast<base::Duration::rep>(microseconds));
+}
+
+}  // namespace
+
+void RunTimeEstimator::Observe(base::Duration declared, base::Duration took) {
+  ++this->observations;
+  // What is learned starts as the average of what was seen.
+  const double gain = std::max(
+      kGain, 1.0 / static_cast<double>(std::min(this->observations, kWarmUp)));
+  const auto actual = static_cast<double>(took.count());
+  this->mean_error += gain * (std::abs(actual - this->mean) - this->mean_error);
+  this->mean += gain * (actual - this->mean);
+  const auto claimed = static_cast<double>(declared.count());
+  if (claimed <= 0) {
+    this->declared_error = this->mean_error + 1;
+    return;
+  }
+  const double predicted = claimed * this->declared_ratio;
+  this->declared_error +=
+      gain * (std::abs(actual - predicted) - this->declared_error);
+  const double ratio = std::clamp(actual / claimed, kLeastRatio, kMostRatio);
+  this->declared_ratio += gain * (ratio - this->declared_ratio);
+}
+
+base::Duration RunTimeEstimator::Expect(base::Duration declared) const {
+  if (this->observations == 0) return declared;
+  const bool trust_declared =
+      declared.count() > 0 && this->declared_error < this->mean_error;
+  if (!trust_declared) return this->Mean();
+  return ToDuration(static_cast<double>(declared.count()) *
+                    this->declared_ratio);
+}
+
+base::Duration RunTimeEstimator::Mean() const { return ToDuration(this->mean); }
+
+}  // namespace hawthornwheel::dispatch
