A queue that waits by choice does not borrow

Cause: a task held for a faster endpoint counted as starved, and each hold asked the peers for slots. Change: a service starves only when none of its endpoints has a free slot.

--- a/src/libs/dispatch/loan_controller.cc
+++ b/src/libs/dispatch/loan_controller.cc
@@ -27,6 +27,13 @@
 // Part of its free slots that a lender gives away at once.
 constexpr std::uint32_t kLendDivisor = 2;
 
+bool HasFreeSlot(const ServiceLoad& load, base::TimePoint now) {
+  return std::any_of(load.pool.begin(), load.pool.end(),
+                     [now](const EndpointState* endpoint) {
+                       return FreeSlots(*endpoint, now) > 0;
+                     });
+}
+
 bool ByFreeSlots(const std::pair<std::uint32_t, std::string>& a,
                  const std::pair<std::uint32_t, std::string>& b) {
   return a.first != b.first ? a.first > b.first : a.second < b.second;
@@ -71,7 +78,8 @@
   const base::TimePoint now = this->clock.Now();
   for (auto& [service, load] : this->board.services) {
     Demand& demand = this->demands[service];
-    if (load.queued_tasks == 0) {
+    // A queue beside free slots waits for faster ones by choice.
+    if (load.queued_tasks == 0 || HasFreeSlot(load, now)) {
       demand.starved = false;
       continue;
     }
