--- a/src/libs/dispatch/dispatcher.cc
+++ b/src/libs/dispatch/dispatcher.cc
@@ -76,6 +76,7 @@
     this->config.SetChangeListener(rebuild);
     this->membership.SetChangeListener(rebuild);
     this->leaving.SetChangeListener(rebuild);
+    this->leaving.SetSignListener([this] { this->membership.BeatNow(); });
     this->config.SetRecordListener([this](const wire::LogRecord& record) {
       this->membership.OnRecord(record);
     });
--- a/src/libs/dispatch/loan_controller.cc
+++ b/src/libs/dispatch/loan_controller.cc
@@ -20,7 +20,8 @@
 constexpr base::Duration kAskInterval = milliseconds(20);
 // A queue that a free slot of the own will end sooner is not worth a message.
 constexpr base::Duration kStarvedBeforeAsking = milliseconds(15);
-constexpr base::Duration kEmptyPause = milliseconds(100);
+constexpr base::Duration kShortestPause = milliseconds(100);
+constexpr base::Duration kLongestPause = milliseconds(1600);
 constexpr base::Duration kIdleBeforeReturn = milliseconds(600);
 constexpr std::uint32_t kLeastRequest = 4;
 constexpr std::uint32_t kMostRequest = 64;
@@ -114,9 +115,9 @@
   std::vector<std::pair<std::uint32_t, std::string>> remote;
   for (const auto& [incarnation, member] : this->fleet_board.members) {
     if (member.draining || !this->membership.IsLive(member)) continue;
-    const auto pause = this->empty_until.find(incarnation);
+    const auto pause = this->pauses.find(incarnation);
     const bool paused =
-        pause != this->empty_until.end() && this->clock.Now() < pause->second;
+        pause != this->pauses.end() && this->clock.Now() < pause->second.until;
     if (paused) continue;
     const bool is_local =
         member.announce.domain() == this->fleet_board.self.domain();
@@ -156,9 +157,10 @@
   const bool granted = answer && answer->has_loan_grant() &&
                        answer->loan_grant().loans_size() > 0;
   if (!granted) {
-    this->empty_until[lender] = this->clock.Now() + kEmptyPause;
+    this->PauseLender(lender);
     return;
   }
+  this->pauses.erase(lender);
   const wire::SlotLoanGrant& grant = answer->loan_grant();
   // Counted from the asking, so that the lender's view of the lease lasts
   // longer.
@@ -175,6 +177,12 @@
   if (this->slot_listener) this->slot_listener();
 }
 
+void LoanController::PauseLender(const std::string& lender) {
+  Pause& pause = this->pauses[lender];
+  pause.length = std::clamp(2 * pause.length, kShortestPause, kLongestPause);
+  pause.until = this->clock.Now() + pause.length;
+}
+
 bool LoanController::TakeLoan(const std::string& service,
                               const std::string& lender,
                               const wire::SlotLoan& loan,
--- a/src/libs/dispatch/loan_controller.h
+++ b/src/libs/dispatch/loan_controller.h
@@ -63,6 +63,14 @@
     base::TimePoint next_ask;
   };
 
+  /// How long a process that had nothing to lend is not asked again; doubles
+  /// with each time in a row.
+  struct Pause {
+    base::Duration length{0};
+    base::TimePoint until;
+  };
+
+  void PauseLender(const std::string& lender);
   void RequestFor(const std::string& service, ServiceLoad& load);
   std::vector<std::string> LendersByPreference() const;
   void AskLender(const std::string& service, const std::string& lender,
@@ -100,8 +108,7 @@
   std::function<void()> slot_listener;
   std::map<LentKey, Lent> lent;
   std::map<std::string, Demand> demands;
-  /// Until when a process is not asked again, after it had nothing to lend.
-  std::map<std::string, base::TimePoint> empty_until;
+  std::map<std::string, Pause> pauses;
   base::TimePoint next_renewal;
 };
 
--- a/src/libs/fleet/leaving_controller.cc
+++ b/src/libs/fleet/leaving_controller.cc
@@ -44,6 +44,7 @@
   if (!is_new) return;
   kLog.Info("An endpoint is leaving. endpoint={}", address);
   if (this->change_listener) this->change_listener();
+  if (this->sign_listener) this->sign_listener();
 }
 
 bool LeavingController::IsLeaving(const std::string& address) const {
@@ -81,6 +82,10 @@
   this->change_listener = std::move(listener);
 }
 
+void LeavingController::SetSignListener(std::function<void()> listener) {
+  this->sign_listener = std::move(listener);
+}
+
 void LeavingController::Poll() {
   this->ForgetOld();
   this->metrics.Count("platform.vm_list_reads");
@@ -98,6 +103,7 @@
       this->board.vms[vm.address()] = vm;
     }
     if (this->change_listener) this->change_listener();
+    if (this->sign_listener) this->sign_listener();
   }
   if (!list) this->metrics.Count("platform.vm_list_errors");
   this->poll_timer.StartOnce(this->settings.poll_interval,
--- a/src/libs/fleet/leaving_controller.h
+++ b/src/libs/fleet/leaving_controller.h
@@ -42,6 +42,9 @@
   /// Takes the signs of a peer.
   void OnHeartbeat(const wire::Heartbeat& heartbeat);
 
+  /// Sets the function called after this process itself saw a new sign.
+  void SetSignListener(std::function<void()> listener);
+
   /// Sets the function called after the list or a sign has changed.
   void SetChangeListener(std::function<void()> listener);
 
@@ -58,6 +61,7 @@
   const FleetSettings& settings;
   base::Timer poll_timer;
   std::function<void()> change_listener;
+  std::function<void()> sign_listener;
   /// Signs that this process saw itself, by address, with the time of each.
   std::map<std::string, base::TimePoint> own_signs;
 };
--- a/src/libs/fleet/membership_controller.cc
+++ b/src/libs/fleet/membership_controller.cc
@@ -17,6 +17,7 @@
 constexpr base::Logger kLog("membership");
 
 constexpr base::Duration kAnnounceRetry = seconds(2);
+constexpr base::Duration kBeatSoon = std::chrono::milliseconds(20);
 constexpr base::Duration kForgetAfter = minutes(2);
 constexpr std::size_t kRelaysPerDomain = 2;
 // Relays speak to other domains on every third beat.
@@ -37,7 +38,8 @@
       metrics(metrics),
       settings(settings),
       beat_timer(clock),
-      announce_timer(clock) {
+      announce_timer(clock),
+      beat_soon(clock) {
   this->messenger.SetHandler(
       wire::Envelope::kHeartbeat,
       [this](const wire::Envelope& envelope) { this->OnHeartbeat(envelope); });
@@ -134,6 +136,8 @@
   this->NotifyChange();
 }
 
+void MembershipController::BeatNow() { this->BeatOnce(); }
+
 void MembershipController::SendTo(const std::string& address,
                                   const wire::Heartbeat& heartbeat) {
   wire::Envelope envelope;
@@ -291,6 +295,8 @@
             live.size());
   this->last_live = std::move(live);
   if (this->change_listener) this->change_listener();
+  // Owners change now; the others learn at once which slots are still held.
+  this->beat_soon.StartOnce(kBeatSoon, [this] { this->BeatOnce(); });
 }
 
 }  // namespace hawthornwheel::fleet
--- a/src/libs/fleet/membership_controller.h
+++ b/src/libs/fleet/membership_controller.h
@@ -40,6 +40,9 @@
   /// Takes records of membership from the log.
   void OnRecord(const wire::LogRecord& record);
 
+  /// Sends a heartbeat at once, as when an endpoint was seen leaving.
+  void BeatNow();
+
   /// Sets the function that adds load and endpoint state to heartbeats.
   void SetHeartbeatFiller(HeartbeatFiller filler);
 
@@ -85,6 +88,7 @@
   const FleetSettings& settings;
   base::Timer beat_timer;
   base::Timer announce_timer;
+  base::Timer beat_soon;
   HeartbeatFiller filler;
   std::function<void(const wire::Envelope&)> heartbeat_listener;
   std::function<void()> change_listener;
