Admission by the share that a class really gets

Cause: the expected wait counted the whole service's queue and all slots as its own, so a bulk flood had urgent jobs of the same service refused, and jobs of the flood were started that could not end in time. Change: each urgency class has its own queue limit and a meter of how fast its queue empties while busy; a job's own tasks count. A refusal says when to come back.

--- a/src/libs/base/error.h
+++ b/src/libs/base/error.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <system_error>
 
@@ -19,6 +20,8 @@
   std::string detail;
   /// Field of the request at fault; empty when none is.
   std::string field;
+  /// Time after which to try again; 0 leaves it to the kind.
+  std::uint32_t retry_after_ms = 0;
 };
 
 }  // namespace hawthornwheel::base
--- a/src/libs/dispatch/admission_controller.cc
+++ b/src/libs/dispatch/admission_controller.cc
@@ -12,6 +12,8 @@
 using base::ErrorKind;
 using std::chrono::milliseconds;
 
+constexpr double kMicrosecondsPerSecond = 1e6;
+
 }  // namespace
 
 AdmissionController::AdmissionController(base::Clock& clock,
@@ -129,12 +131,15 @@
 std::optional<Error> AdmissionController::CheckCapacity(
     const wire::SubmitRequest& request,
     const fleet::ServiceConfig& service) const {
+  const fleet::Urgency urgency = UrgencyOf(request);
   const ServiceLoad& load = this->board.services.at(service.name);
-  const auto tasks = static_cast<std::uint64_t>(request.tasks_size());
-  if (load.queued_tasks + tasks > service.max_queued_tasks) {
+  const ClassLoad& one = load.classes[static_cast<std::size_t>(urgency)];
+  const auto tasks = static_cast<std::uint32_t>(request.tasks_size());
+  if (one.queued_tasks + tasks > service.max_queued_tasks) {
     return Error(ErrorKind::kQueueFull,
-                 fmt::format("service '{}' has {} tasks queued", service.name,
-                             load.queued_tasks));
+                 fmt::format("class '{}' of service '{}' has {} tasks queued",
+                             fleet::UrgencyName(urgency), service.name,
+                             one.queued_tasks));
   }
   std::uint64_t queued = 0;
   for (const auto& [name, other] : this->board.services) {
@@ -148,29 +153,43 @@
     return Error(ErrorKind::kQueueFull, fmt::format("the process keeps {} jobs",
                                                     this->board.jobs.size()));
   }
-  const base::Duration wait = this->ExpectedWait(service);
-  if (wait > milliseconds(request.timeout_ms())) {
-    return Error(
-        ErrorKind::kDeadlineUnreachable,
-        fmt::format("the expected wait is {} ms", wait / milliseconds(1)),
-        "timeout_ms");
-  }
-  return std::nullopt;
+  return this->CheckWait(request, load);
 }
 
-base::Duration AdmissionController::ExpectedWait(
-    const fleet::ServiceConfig& service) const {
-  const auto found = this->board.services.find(service.name);
-  if (found == this->board.services.end()) return base::Duration{0};
-  const ServiceLoad& load = found->second;
+std::optional<Error> AdmissionController::CheckWait(
+    const wire::SubmitRequest& request, const ServiceLoad& load) const {
+  const base::Duration wait =
+      this->ExpectedWait(load, UrgencyOf(request),
+                         static_cast<std::uint32_t>(request.tasks_size()));
+  const base::Duration timeout = milliseconds(request.timeout_ms());
+  if (wait <= timeout) return std::nullopt;
+  Error error(ErrorKind::kDeadlineUnreachable,
+              fmt::format("the expected wait is {} ms", wait / milliseconds(1)),
+              "timeout_ms");
+  error.retry_after_ms =
+      static_cast<std::uint32_t>((wait - timeout) / milliseconds(1));
+  return error;
+}
+
+base::Duration AdmissionController::ExpectedWait(const ServiceLoad& load,
+                                                 fleet::Urgency urgency,
+                                                 std::uint32_t tasks) const {
+  const ClassLoad& one = load.classes[static_cast<std::size_t>(urgency)];
+  if (one.queued_tasks == 0) return base::Duration{0};
   const base::TimePoint now = this->clock.Now();
+  const double rate = one.throughput.Rate(now);
+  const std::uint32_t ahead = one.queued_tasks + tasks;
+  if (rate > 0) {
+    return base::Duration(static_cast<base::Duration::rep>(
+        ahead * kMicrosecondsPerSecond / rate));
+  }
+  // Before the share is known, all slots are taken to be the service's own.
   std::uint64_t slots = 0;
   for (const EndpointState* endpoint : load.pool) {
     if (!endpoint->leaving) slots += UsableSlots(*endpoint, now);
   }
-  if (slots == 0 || load.queued_tasks == 0) return base::Duration{0};
-  return load.run_time.Mean() * load.queued_tasks /
-         static_cast<base::Duration::rep>(slots);
+  if (slots == 0) return base::Duration{0};
+  return load.run_time.Mean() * ahead / static_cast<base::Duration::rep>(slots);
 }
 
 bool AdmissionController::TeamExists(const std::string& team) const {
--- a/src/libs/dispatch/admission_controller.h
+++ b/src/libs/dispatch/admission_controller.h
@@ -32,8 +32,9 @@
   /// Urgency class of a valid request.
   static fleet::Urgency UrgencyOf(const wire::SubmitRequest& request);
 
-  /// Expected time until a new task of the service would start.
-  base::Duration ExpectedWait(const fleet::ServiceConfig& service) const;
+  /// Expected time until the last of `tasks` new tasks of a class starts.
+  base::Duration ExpectedWait(const ServiceLoad& load, fleet::Urgency urgency,
+                              std::uint32_t tasks) const;
 
  private:
   std::optional<base::Error> CheckShape(
@@ -47,6 +48,8 @@
   std::optional<base::Error> CheckCapacity(
       const wire::SubmitRequest& request,
       const fleet::ServiceConfig& service) const;
+  std::optional<base::Error> CheckWait(const wire::SubmitRequest& request,
+                                       const ServiceLoad& load) const;
   bool TeamExists(const std::string& team) const;
 
   base::Clock& clock;
--- a/src/libs/dispatch/dispatch_board.cc
+++ b/src/libs/dispatch/dispatch_board.cc
@@ -2,6 +2,35 @@
 
 namespace hawthornwheel::dispatch {
 
+namespace {
+
+ClassLoad& ClassOf(ServiceLoad& load, fleet::Urgency urgency) {
+  return load.classes[static_cast<std::size_t>(urgency)];
+}
+
+}  // namespace
+
+void CountQueued(ServiceLoad& load, fleet::Urgency urgency, std::uint32_t tasks,
+                 base::TimePoint now) {
+  ClassLoad& one = ClassOf(load, urgency);
+  one.throughput.OnArrival(now, one.queued_tasks);
+  one.queued_tasks += tasks;
+  load.queued_tasks += tasks;
+}
+
+void CountUnqueued(ServiceLoad& load, fleet::Urgency urgency,
+                   std::uint32_t tasks) {
+  ClassOf(load, urgency).queued_tasks -= tasks;
+  load.queued_tasks -= tasks;
+}
+
+void CountStarted(ServiceLoad& load, fleet::Urgency urgency,
+                  base::TimePoint now) {
+  CountUnqueued(load, urgency, 1);
+  ClassLoad& one = ClassOf(load, urgency);
+  one.throughput.OnStart(now, one.queued_tasks);
+}
+
 std::uint32_t UsableSlots(const EndpointState& endpoint, base::TimePoint now) {
   if (!endpoint.owned) {
     return now < endpoint.borrowed_until ? endpoint.borrowed : 0;
--- a/src/libs/dispatch/dispatch_board.h
+++ b/src/libs/dispatch/dispatch_board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 #include "dispatch/fair_queue.h"
 #include "dispatch/job.h"
 #include "dispatch/run_time_estimator.h"
+#include "dispatch/throughput_meter.h"
 
 namespace hawthornwheel::dispatch {
 
@@ -29,9 +31,17 @@
   bool stopping = false;
 };
 
+/// Queue of one urgency class of a service.
+struct ClassLoad {
+  std::uint32_t queued_tasks = 0;
+  ThroughputMeter throughput;
+};
+
 /// What this process knows of one service's work.
 struct ServiceLoad {
+  /// Sum over `classes`.
   std::uint32_t queued_tasks = 0;
+  std::array<ClassLoad, fleet::kUrgencyCount> classes;
   std::uint32_t running_tasks = 0;
   RunTimeEstimator run_time;
   /// Learned share of attempts that failed at endpoints.
@@ -62,6 +72,18 @@
   bool draining = false;
 };
 
+/// Counts `tasks` more that wait in a class.
+void CountQueued(ServiceLoad& load, fleet::Urgency urgency, std::uint32_t tasks,
+                 base::TimePoint now);
+
+/// Counts `tasks` that left a class without a start.
+void CountUnqueued(ServiceLoad& load, fleet::Urgency urgency,
+                   std::uint32_t tasks);
+
+/// Counts one start out of a class.
+void CountStarted(ServiceLoad& load, fleet::Urgency urgency,
+                  base::TimePoint now);
+
 /// Slots of an endpoint that this process may fill at `now`.
 std::uint32_t UsableSlots(const EndpointState& endpoint, base::TimePoint now);
 
--- a/src/libs/dispatch/failure.cc
+++ b/src/libs/dispatch/failure.cc
@@ -1,5 +1,7 @@
 #include "dispatch/failure.h"
 
+#include <algorithm>
+
 namespace hawthornwheel::dispatch {
 namespace {
 
@@ -36,7 +38,8 @@
   failure->set_execution(ExecutionOf(info, possible_starts));
   failure->set_retryable(info.retry != base::RetryAdvice::kNever);
   if (info.retry == base::RetryAdvice::kAfterDelay) {
-    failure->set_retry_after_ms(kDefaultRetryDelayMs);
+    failure->set_retry_after_ms(
+        std::max(kDefaultRetryDelayMs, error.retry_after_ms));
   }
   return answer;
 }
--- a/src/libs/dispatch/job_controller.cc
+++ b/src/libs/dispatch/job_controller.cc
@@ -185,8 +185,8 @@
         this->Fail(*found->second, Error(ErrorKind::kDeadlineExceeded, ""));
       });
   this->registry.Remember(key, {id, FingerprintOf(request)});
-  this->board.services[job.service->name].queued_tasks +=
-      static_cast<std::uint32_t>(job.tasks.size());
+  CountQueued(this->board.services[job.service->name], job.urgency,
+              static_cast<std::uint32_t>(job.tasks.size()), job.admitted_at);
   this->board.queue.PushBack(PathOf(job), id);
   this->board.jobs[id] = std::move(owned);
   ++this->open_jobs;
@@ -356,7 +356,8 @@
 void JobController::Requeue(Job& job, std::uint32_t index) {
   const bool in_queue = !job.queued.empty();
   job.queued.push_back(index);
-  ++this->board.services[job.service->name].queued_tasks;
+  CountQueued(this->board.services[job.service->name], job.urgency, 1,
+              this->clock.Now());
   if (!in_queue) this->board.queue.PushFront(PathOf(job), job.id);
 }
 
@@ -385,8 +386,8 @@
   job.ended = true;
   --this->open_jobs;
   this->clock.CancelTimer(job.deadline_timer);
-  this->board.services[job.service->name].queued_tasks -=
-      static_cast<std::uint32_t>(job.queued.size());
+  CountUnqueued(this->board.services[job.service->name], job.urgency,
+                static_cast<std::uint32_t>(job.queued.size()));
   job.queued.clear();
   for (const Task& task : job.tasks) {
     if (task.state == TaskState::kRunning && task.attempt != 0) {
--- /dev/null
+++ b/src/libs/dispatch/throughput_meter.cc
@@ -0,0 +1,49 @@
+#include "dispatch/throughput_meter.h"
+
+#include <chrono>
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+constexpr base::Duration kWindow = std::chrono::milliseconds(500);
+constexpr double kGain = 0.5;
+constexpr double kMicrosecondsPerSecond = 1e6;
+// Without a start for this long, what was learned no longer counts.
+constexpr base::Duration kStale = std::chrono::seconds(5);
+
+}  // namespace
+
+void ThroughputMeter::OnStart(base::TimePoint now, std::uint32_t queued) {
+  this->Roll(now);
+  ++this->starts;
+  if (queued == 0) this->busy = false;
+}
+
+void ThroughputMeter::OnArrival(base::TimePoint now, std::uint32_t queued) {
+  this->Roll(now);
+  if (queued > 0) return;
+  // The queue was empty: what follows is a new busy period.
+  this->window_start = now;
+  this->starts = 0;
+  this->busy = true;
+  this->rate = 0;
+}
+
+double ThroughputMeter::Rate(base::TimePoint now) const {
+  return now - this->window_start < kStale ? this->rate : 0;
+}
+
+void ThroughputMeter::Roll(base::TimePoint now) {
+  const base::Duration elapsed = now - this->window_start;
+  if (elapsed < kWindow) return;
+  if (this->busy) {
+    const double seen = this->starts * kMicrosecondsPerSecond /
+                        static_cast<double>(elapsed.count());
+    this->rate =
+        this->rate == 0 ? seen : this->rate + kGain * (seen - this->rate);
+  }
+  this->window_start = now;
+  this->starts = 0;
+}
+
+}  // namespace hawthornwheel::dispatch
