--- /dev/null
+++ b/bench/load_driver.cc
@@ -0,0 +1,350 @@
+// Load driver: open-loop arrivals of jobs at real processes over loopback.
+// It sends jobs again, under the same key and at another process, when a call
+// fails, and holds the answers against the starts that the stand-in endpoints
+// counted. Exits with 1 when a promise was broken.
+
+#include <fmt/format.h>
+#include <libsoup/soup.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "base/glib_clock.h"
+#include "wire/caller.pb.h"
+#include "wire/json.h"
+
+ABSL_FLAG(std::vector<std::string>, entries, {}, "Callers' addresses.");
+ABSL_FLAG(std::vector<std::string>, controls, {},
+          "Control addresses of the stand-in endpoints.");
+ABSL_FLAG(double, jobs_per_second, 20, "Arrivals.");
+ABSL_FLAG(int, tasks, 4, "Tasks of a job.");
+ABSL_FLAG(int, run_ms, 100, "Mean run time of a task.");
+ABSL_FLAG(int, seconds, 10, "Length of the arrivals.");
+ABSL_FLAG(int, timeout_ms, 8000, "Timeout of a job.");
+ABSL_FLAG(double, resubmit, 0, "Share of jobs sent twice in any case.");
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed.");
+ABSL_FLAG(std::string, team, "laundry", "Team.");
+ABSL_FLAG(std::string, service, "booking", "Service.");
+
+namespace hawthornwheel::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kMostSends = 4;
+constexpr base::Duration kResendAfter = milliseconds(300);
+constexpr double kMicrosecondsPerMillisecond = 1000;
+
+using Reply = std::function<void(guint status, const std::string& body)>;
+
+struct PendingCall {
+  SoupMessage* message;
+  Reply done;
+};
+
+void OnReply(GObject* source, GAsyncResult* result, gpointer data) {
+  std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
+  GBytes* bytes =
+      soup_session_send_and_read_finish(SOUP_SESSION(source), result, nullptr);
+  std::string body;
+  guint status = 0;
+  if (bytes != nullptr) {
+    gsize size = 0;
+    const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    body.assign(text == nullptr ? "" : text, size);
+    status = soup_message_get_status(call->message);
+    g_bytes_unref(bytes);
+  }
+  g_object_unref(call->message);
+  call->done(status, body);
+}
+
+struct DrivenJob {
+  wire::SubmitRequest request;
+  base::TimePoint sent_at;
+  double ideal_ms = 0;
+  int sends = 0;
+  bool done = false;
+  std::vector<wire::JobAnswer> answers;
+};
+
+class Driver {
+ public:
+  Driver() : random(absl::GetFlag(FLAGS_seed)) {
+    this->session =
+        soup_session_new_with_options("max-conns", 4096, "max-conns-per-host",
+                                      1024, "proxy-resolver", nullptr, nullptr);
+    this->entries = absl::GetFlag(FLAGS_entries);
+  }
+
+  int Run() {
+    this->end = this->clock.Now() + seconds(absl::GetFlag(FLAGS_seconds));
+    this->ScheduleNext();
+    this->RunUntil(
+        [this] { return this->clock.Now() >= this->end && this->open == 0; });
+    this->FetchStarts();
+    this->RunUntil([this] { return this->fetches == 0; });
+    return this->Report();
+  }
+
+ private:
+  void RunUntil(const std::function<bool()>& condition) {
+    while (!condition()) g_main_context_iteration(nullptr, TRUE);
+  }
+
+  double Share() {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  }
+
+  void Call(const char* method, const std::string& address,
+            const std::string& target, const std::string& body, Reply done) {
+    const std::string uri = "http://" + address + target;
+    SoupMessage* message = soup_message_new(method, uri.c_str());
+    if (!body.empty()) {
+      GBytes* bytes = g_bytes_new(body.data(), body.size());
+      soup_message_set_request_body_from_bytes(message, "application/json",
+                                               bytes);
+      g_bytes_unref(bytes);
+    }
+    // Keeps connections; a resend is safe, since every job has a key.
+    soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+    soup_session_send_and_read_async(this->session, message, G_PRIORITY_DEFAULT,
+                                     nullptr, OnReply,
+                                     new PendingCall{message, std::move(done)});
+  }
+
+  void ScheduleNext() {
+    if (this->clock.Now() >= this->end) return;
+    const double mean_us = 1e6 / absl::GetFlag(FLAGS_jobs_per_second);
+    const auto wait = static_cast<base::Duration::rep>(
+        -mean_us * std::log(1 - this->Share()));
+    this->clock.StartTimer(base::Duration(wait), [this] {
+      this->Arrive();
+      this->ScheduleNext();
+    });
+  }
+
+  std::string RandomEntry() {
+    return this->entries[this->random() % this->entries.size()];
+  }
+
+  void Arrive() {
+    ++this->open;
+    const std::string entry = RandomEntry();
+    const auto found = this->prefixes.find(entry);
+    if (found != this->prefixes.end()) {
+      this->Begin(found->second, entry);
+      return;
+    }
+    this->Call("GET", entry, "/v1/prefix", "",
+               [this, entry](guint status, const std::string& body) {
+                 wire::PrefixAnswer answer;
+                 if (status != 200 || !wire::FromJson(body, answer)) {
+                   ++this->no_prefix;
+                   --this->open;
+                   return;
+                 }
+                 this->Begin(answer.prefix(), entry);
+               });
+  }
+
+  void Begin(const std::string& prefix, const std::string& entry) {
+    const std::string key = fmt::format("{}d{}", prefix, ++this->last_job);
+    DrivenJob& job = this->jobs[key];
+    job.request.set_key(key);
+    job.request.set_team(absl::GetFlag(FLAGS_team));
+    job.request.set_service(absl::GetFlag(FLAGS_service));
+    job.request.set_timeout_ms(
+        static_cast<std::uint32_t>(absl::GetFlag(FLAGS_timeout_ms)));
+    for (int i = 0; i < absl::GetFlag(FLAGS_tasks); ++i) {
+      const double run_ms = absl::GetFlag(FLAGS_run_ms) * 2 * this->Share();
+      job.ideal_ms = std::max(job.ideal_ms, run_ms);
+      wire::TaskSpec* task = job.request.add_tasks();
+      task->set_payload(fmt::format("run={:.1f};say={}#{}", run_ms, key, i));
+      task->set_run_time_ms(static_cast<std::uint32_t>(run_ms));
+    }
+    job.sent_at = this->clock.Now();
+    this->Send(key, entry);
+    if (this->Share() < absl::GetFlag(FLAGS_resubmit)) {
+      this->Send(key, RandomEntry());
+    }
+  }
+
+  void Send(const std::string& key, const std::string& entry) {
+    DrivenJob& job = this->jobs[key];
+    ++job.sends;
+    this->Call("POST", entry,
+               fmt::format("/v1/jobs?wait_ms={}",
+                           absl::GetFlag(FLAGS_timeout_ms) + 1000),
+               wire::ToJson(job.request),
+               [this, key, entry](guint, const std::string& body) {
+                 this->OnAnswer(key, entry, body);
+               });
+  }
+
+  void OnAnswer(const std::string& key, const std::string& entry,
+                const std::string& body) {
+    DrivenJob& job = this->jobs[key];
+    wire::JobAnswer answer;
+    const bool parsed =
+        !body.empty() && wire::FromJson(body, answer).HasValue();
+    if (parsed) {
+      job.answers.push_back(answer);
+      if (answer.state() == wire::FAILED) {
+        ++this->kinds[answer.failure().kind()];
+      }
+      this->LearnPrefix(entry, answer.next_prefix());
+    } else {
+      this->prefixes.erase(entry);
+    }
+    const bool settled =
+        parsed && answer.failure().kind() != "home_unreachable";
+    if (job.done) return;
+    if (!settled && job.sends < kMostSends) {
+      this->clock.StartTimer(kResendAfter,
+                             [this, key] { this->Send(key, RandomEntry()); });
+      return;
+    }
+    job.done = true;
+    --this->open;
+    if (answer.state() != wire::COMPLETE) return;
+    const double took = double((this->clock.Now() - job.sent_at).count()) /
+                        kMicrosecondsPerMillisecond;
+    this->response_ms.push_back(took);
+    this->ratios.push_back(took / job.ideal_ms);
+  }
+
+  void LearnPrefix(const std::string& entry, const std::string& prefix) {
+    if (prefix.empty()) return;
+    this->prefixes[entry] = prefix;
+  }
+
+  void FetchStarts() {
+    for (const std::string& control : absl::GetFlag(FLAGS_controls)) {
+      ++this->fetches;
+      this->Call(
+          "GET", control, "/starts", "",
+          [this](guint, const std::string& body) {
+            for (const absl::string_view line : absl::StrSplit(body, '\n')) {
+              const std::vector<std::string> parts = absl::StrSplit(line, ' ');
+              std::uint32_t count = 0;
+              if (parts.size() == 2 && absl::SimpleAtoi(parts[1], &count)) {
+                this->starts[parts[0]] += count;
+              }
+            }
+            --this->fetches;
+          });
+    }
+  }
+
+  std::uint32_t StartsOf(const std::string& key, int index) const {
+    const auto found = this->starts.find(fmt::format("{}#{}", key, index));
+    return found == this->starts.end() ? 0 : found->second;
+  }
+
+  void Broke(const std::string& what) {
+    ++this->broken;
+    fmt::print("BROKEN {}\n", what);
+  }
+
+  void CheckJob(const std::string& key, const DrivenJob& job) {
+    std::uint32_t started = 0;
+    for (int i = 0; i < job.request.tasks_size(); ++i) {
+      const std::uint32_t starts = this->StartsOf(key, i);
+      if (starts > 1) Broke(fmt::format("{}#{} started {}", key, i, starts));
+      started += starts;
+    }
+    for (const wire::JobAnswer& answer : job.answers) {
+      if (answer.state() == wire::COMPLETE) {
+        bool whole = answer.results_size() == job.request.tasks_size();
+        for (int i = 0; whole && i < answer.results_size(); ++i) {
+          whole = answer.results(i).payload() == fmt::format("{}#{}", key, i);
+        }
+        if (!whole) Broke(key + " got a partial or crossed answer");
+        continue;
+      }
+      if (answer.failure().execution() == wire::NOT_RUN && started > 0) {
+        Broke(key + " was 'not run' and started");
+      }
+    }
+  }
+
+  static double Quantile(std::vector<double>& values, double probability) {
+    if (values.empty()) return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(
+        probability * static_cast<double>(values.size() - 1))];
+  }
+
+  int Report() {
+    std::uint64_t complete = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t may_have_run = 0;
+    std::uint64_t unanswered = 0;
+    for (const auto& [key, job] : this->jobs) {
+      this->CheckJob(key, job);
+      if (job.answers.empty()) {
+        ++unanswered;
+        continue;
+      }
+      const wire::JobAnswer& last = job.answers.back();
+      if (last.state() == wire::COMPLETE) {
+        ++complete;
+      } else {
+        ++(last.failure().execution() == wire::NOT_RUN ? not_run
+                                                       : may_have_run);
+      }
+    }
+    fmt::print(
+        "jobs={} complete={} not_run={} may_have_run={} unanswered={} "
+        "no_prefix={} p50_ms={:.1f} p99_ms={:.1f} ratio_p50={:.3f} "
+        "ratio_p99={:.3f} tasks_started={} broken={}\n",
+        this->jobs.size(), complete, not_run, may_have_run, unanswered,
+        this->no_prefix, Quantile(this->response_ms, 0.5),
+        Quantile(this->response_ms, 0.99), Quantile(this->ratios, 0.5),
+        Quantile(this->ratios, 0.99), this->starts.size(), this->broken);
+    for (const auto& [kind, count] : this->kinds) {
+      fmt::print("  {}={}\n", kind, count);
+    }
+    return this->broken == 0 && complete > 0 ? 0 : 1;
+  }
+
+  base::GlibClock clock;
+  std::mt19937_64 random;
+  SoupSession* session = nullptr;
+  std::vector<std::string> entries;
+  base::TimePoint end;
+  std::uint64_t last_job = 0;
+  std::uint64_t open = 0;
+  std::uint64_t fetches = 0;
+  std::uint64_t no_prefix = 0;
+  std::uint64_t broken = 0;
+  std::map<std::string, std::string> prefixes;
+  std::unordered_map<std::string, DrivenJob> jobs;
+  std::unordered_map<std::string, std::uint32_t> starts;
+  std::map<std::string, std::uint64_t> kinds;
+  std::vector<double> response_ms;
+  std::vector<double> ratios;
+};
+
+}  // namespace
+}  // namespace hawthornwheel::bench
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  hawthornwheel::bench::Driver driver;
+  return driver.Run();
+}
--- a/tests/standins/endpoint_main.cc
+++ b/tests/standins/endpoint_main.cc
@@ -3,7 +3,8 @@
 //
 //     endpoint_standin COUNT [SLOWNESS]
 //
-// Control: GET /counts, POST /leaving?index=I, POST /failing?index=I.
+// Control: GET /counts, GET /starts (a line for each task), POST
+// /leaving?index=I, POST /failing?index=I.
 
 #include <fmt/format.h>
 #include <glib.h>
@@ -30,6 +31,14 @@
         const std::size_t index = std::stoul(request.Query("index", "0"));
         if (request.path == "/leaving") servers.at(index)->SetLeaving(true);
         if (request.path == "/failing") servers.at(index)->SetFailing(true);
+        if (request.path == "/starts") {
+          http::HttpReply list;
+          for (const auto& [task, count] : counts.starts) {
+            list.body += fmt::format("{} {}\n", task, count);
+          }
+          respond(list);
+          return;
+        }
         std::uint64_t starts = 0;
         for (const auto& [task, count] : counts.starts) starts += count;
         http::HttpReply reply;
