A process that starts or wakes joins its domain before it owns endpoints

Cause: a process that had just started, or woken after 10 s, had heard nobody lately, took itself for the only one and owned every endpoint. Members known from the log were greeted only on every fifth beat. Change: new members are greeted at once and answer; a process counts itself only 500 ms after it joined; ownership is relied on for 1 s at most and renewed by the care timer, so that after a pause the process joins anew. Forwards to a process taken for dead end at once. An entry VM hands out its own prefix.

--- a/src/libs/dispatch/dispatcher.cc
+++ b/src/libs/dispatch/dispatcher.cc
@@ -75,6 +75,9 @@
     };
     this->config.SetChangeListener(rebuild);
     this->membership.SetChangeListener(rebuild);
+    this->membership.SetDeathListener([this](const fleet::Member& member) {
+      this->messenger.FailRequestsTo(member.announce.peer_address());
+    });
     this->leaving.SetChangeListener(rebuild);
     this->leaving.SetSignListener([this] { this->membership.BeatNow(); });
     this->config.SetRecordListener([this](const wire::LogRecord& record) {
@@ -90,7 +93,9 @@
         });
     this->routing.SetStarvedListener([this] { this->loans.OnStarved(); });
     this->loans.SetSlotListener([this] { this->routing.Run(); });
-    this->jobs.SetReadiness([this] { return this->fleet_board.config_ready; });
+    this->jobs.SetReadiness([this] {
+      return this->fleet_board.config_ready && this->membership.HasJoined();
+    });
   }
 
   void OnHeartbeat(const wire::Envelope& envelope) {
@@ -103,6 +108,10 @@
   }
 
   void TakeCare() {
+    if (!this->endpoints.RenewOwnership()) {
+      this->membership.Rejoin();
+      this->endpoints.Rebuild();
+    }
     this->health.ReleaseQuarantines();
     this->routing.Run();
   }
--- a/src/libs/dispatch/endpoint_controller.cc
+++ b/src/libs/dispatch/endpoint_controller.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 
 #include "fleet/leaving_controller.h"
@@ -12,6 +13,9 @@
 namespace hawthornwheel::dispatch {
 namespace {
 
+// Longer than any turn of the loop should take, and shorter than the time after
+// which others take over.
+constexpr base::Duration kOwnershipReliance = std::chrono::seconds(1);
 constexpr double kHashRange = 18446744073709551616.0;
 
 // Score of weighted rendezvous hashing; the highest score owns.
@@ -33,7 +37,8 @@
       fleet_board(fleet_board),
       membership(membership),
       leaving(leaving),
-      board(board) {}
+      board(board),
+      owned_until(clock.Now() + kOwnershipReliance) {}
 
 void EndpointController::Rebuild() {
   this->candidates = this->Candidates();
@@ -54,6 +59,9 @@
                                  state.config->weight);
   }
   this->AssignOwners();
+  for (auto& [address, endpoint] : this->board.endpoints) {
+    endpoint->owned_until = this->owned_until;
+  }
   this->FillPools(specs);
   this->UpdateHeldSlots();
   this->DropUnused();
@@ -79,6 +87,17 @@
   }
 }
 
+bool EndpointController::RenewOwnership() {
+  const base::TimePoint now = this->clock.Now();
+  const bool lapsed = now >= this->owned_until;
+  this->owned_until = now + kOwnershipReliance;
+  if (lapsed) return false;
+  for (auto& [address, endpoint] : this->board.endpoints) {
+    endpoint->owned_until = this->owned_until;
+  }
+  return true;
+}
+
 void EndpointController::UpdateHeldSlots() {
   for (auto& [address, endpoint] : this->board.endpoints) {
     endpoint->held_by_others = 0;
--- a/src/libs/dispatch/endpoint_controller.h
+++ b/src/libs/dispatch/endpoint_controller.h
@@ -34,6 +34,11 @@
   /// Derives everything anew; called after any of the sources has changed.
   void Rebuild();
 
+  /// Renews the reliance on what is owned. When it has lapsed, as after a
+  /// pause, others may own it by now: then nothing is renewed and false is
+  /// returned.
+  bool RenewOwnership();
+
   /// Reads the slots that former owners still use from the members.
   void UpdateHeldSlots();
 
@@ -76,6 +81,7 @@
   DispatchBoard& board;
   std::vector<Candidate> candidates;
   std::set<std::string> configured;
+  base::TimePoint owned_until;
 };
 
 }  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/endpoint_state.h
+++ b/src/libs/dispatch/endpoint_state.h
@@ -34,6 +34,8 @@
   std::uint32_t connections = 0;
   /// Whether this process owns the endpoint's slots.
   bool owned = false;
+  /// Until when the ownership may be relied on without a look at the members.
+  base::TimePoint owned_until;
   /// Slots lent to other processes, of those owned.
   std::uint32_t lent = 0;
   /// Slots that former owners still use.
--- a/src/libs/dispatch/forwarding_jobs.cc
+++ b/src/libs/dispatch/forwarding_jobs.cc
@@ -106,7 +106,7 @@
   this->messenger.Request(
       member->second.announce.peer_address(), std::move(envelope),
       wait + this->settings.forward_grace,
-      [done, fail](const base::Result<wire::Envelope>& result) {
+      [this, done, fail](const base::Result<wire::Envelope>& result) {
         if (!result) {
           fail(result.GetError().detail);
           return;
@@ -115,7 +115,11 @@
           fail("the process gave no answer");
           return;
         }
-        done(result->answer().answer());
+        wire::JobAnswer answer = result->answer().answer();
+        // The caller talks to this process, so its next job is best at home
+        // here.
+        answer.set_next_prefix(this->CurrentPrefix());
+        done(answer);
       });
 }
 
--- a/src/libs/fleet/membership_controller.cc
+++ b/src/libs/fleet/membership_controller.cc
@@ -17,6 +17,8 @@
 constexpr base::Logger kLog("membership");
 
 constexpr base::Duration kAnnounceRetry = seconds(2);
+// Time in which the live members of a domain answer a process that joins.
+constexpr base::Duration kJoinDelay = std::chrono::milliseconds(500);
 constexpr base::Duration kBeatSoon = std::chrono::milliseconds(20);
 constexpr base::Duration kForgetAfter = minutes(2);
 constexpr std::size_t kRelaysPerDomain = 2;
@@ -39,7 +41,8 @@
       settings(settings),
       beat_timer(clock),
       announce_timer(clock),
-      beat_soon(clock) {
+      beat_soon(clock),
+      join_timer(clock) {
   this->messenger.SetHandler(
       wire::Envelope::kHeartbeat,
       [this](const wire::Envelope& envelope) { this->OnHeartbeat(envelope); });
@@ -47,11 +50,17 @@
 
 void MembershipController::Start() {
   this->Announce();
-  this->BeatOnce();
+  this->Rejoin();
   this->beat_timer.StartPeriodic(this->settings.heartbeat_interval,
                                  [this] { this->BeatOnce(); });
 }
 
+void MembershipController::Rejoin() {
+  this->joined_at = this->clock.Now() + kJoinDelay;
+  this->BeatOnce();
+  this->join_timer.StartOnce(kJoinDelay, [this] { this->NotifyChange(); });
+}
+
 void MembershipController::Announce() {
   wire::LogRecord record;
   record.set_id("announce-" + this->board.self.incarnation());
@@ -104,6 +113,27 @@
   });
 }
 
+void MembershipController::SetDeathListener(
+    std::function<void(const Member&)> listener) {
+  this->death_listener = std::move(listener);
+}
+
+void MembershipController::ReportDeaths(
+    const std::vector<std::string>& live) const {
+  for (const std::string& incarnation : this->last_live) {
+    const bool lives =
+        std::find(live.begin(), live.end(), incarnation) != live.end();
+    const auto found = this->board.members.find(incarnation);
+    if (lives || found == this->board.members.end()) continue;
+    // A draining process still answers for its jobs.
+    if (!this->IsLive(found->second)) this->death_listener(found->second);
+  }
+}
+
+bool MembershipController::HasJoined() const {
+  return !this->leaving && this->clock.Now() >= this->joined_at;
+}
+
 bool MembershipController::IsLive(const Member& member) const {
   if (member.left || !member.heard) return false;
   const bool local = member.announce.domain() == this->board.self.domain();
@@ -119,7 +149,7 @@
     if (member.announce.domain() != domain || member.draining) continue;
     if (this->IsLive(member)) live.push_back(incarnation);
   }
-  if (domain == this->board.self.domain() && !this->leaving) {
+  if (domain == this->board.self.domain() && this->HasJoined()) {
     live.push_back(this->board.self.incarnation());
   }
   std::sort(live.begin(), live.end());
@@ -220,7 +250,7 @@
     return;
   }
   Member& member = this->Learn(heartbeat.member());
-  const bool is_new = !member.heard;
+  const bool was_live = this->IsLive(member);
   member.heard = true;
   member.last_heard = this->clock.Now();
   member.draining = heartbeat.draining();
@@ -235,7 +265,7 @@
     this->OnRemoteDigest(digest);
   }
   if (this->heartbeat_listener) this->heartbeat_listener(envelope);
-  if (is_new) this->SendTo(envelope.sender_address(), this->MakeHeartbeat());
+  if (!was_live) this->SendTo(envelope.sender_address(), this->MakeHeartbeat());
   this->NotifyChange();
 }
 
@@ -265,6 +295,8 @@
     member.announce = announce;
     member.last_heard = this->clock.Now();
     this->ReplaceAddress(announce);
+    const bool local = announce.domain() == this->board.self.domain();
+    if (local) this->SendTo(announce.peer_address(), this->MakeHeartbeat());
   }
   return member;
 }
@@ -291,6 +323,7 @@
 void MembershipController::NotifyChange() {
   std::vector<std::string> live = this->LiveIn(this->board.self.domain());
   if (live == this->last_live) return;
+  if (this->death_listener) this->ReportDeaths(live);
   kLog.Info("The live processes of the failure domain changed. live={}",
             live.size());
   this->last_live = std::move(live);
--- a/src/libs/fleet/membership_controller.h
+++ b/src/libs/fleet/membership_controller.h
@@ -53,10 +53,21 @@
   /// Sets the function called after the set of live members has changed.
   void SetChangeListener(std::function<void()> listener);
 
+  /// Sets the function called with each member of the own failure domain that
+  /// is no longer live.
+  void SetDeathListener(std::function<void(const Member&)> listener);
+
+  /// Makes this process join its domain anew, as after a pause: for a short
+  /// while it is not counted as live itself, until it has heard of the others.
+  void Rejoin();
+
   /// Tells peers and the log that this process leaves; `done` runs when the log
   /// has answered, or failed to.
   void Leave(std::function<void()> done);
 
+  /// Whether this process counts as live in its domain.
+  bool HasJoined() const;
+
   /// Whether a member was heard lately and has not left.
   bool IsLive(const Member& member) const;
 
@@ -79,6 +90,7 @@
   void ReplaceAddress(const wire::MemberAnnounce& newer);
   void ForgetOld();
   void NotifyChange();
+  void ReportDeaths(const std::vector<std::string>& live) const;
 
   base::Clock& clock;
   platform::LogClient& log;
@@ -92,7 +104,10 @@
   HeartbeatFiller filler;
   std::function<void(const wire::Envelope&)> heartbeat_listener;
   std::function<void()> change_listener;
+  std::function<void(const Member&)> death_listener;
   std::vector<std::string> last_live;
+  base::TimePoint joined_at;
+  base::Timer join_timer;
   std::uint64_t beats = 0;
   bool leaving = false;
 };
--- a/src/libs/fleet/peer_messenger.cc
+++ b/src/libs/fleet/peer_messenger.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <utility>
+#include <vector>
 
 #include "base/logger.h"
 #include "base/metrics.h"
@@ -56,6 +57,7 @@
   const std::uint64_t correlation = this->next_correlation++;
   envelope.set_correlation(correlation);
   Pending& entry = this->pending[correlation];
+  entry.address = address;
   entry.done = std::move(done);
   entry.timer = std::make_unique<base::Timer>(this->clock);
   const bool sent = this->Send(address, envelope);
@@ -66,6 +68,17 @@
   });
 }
 
+void PeerMessenger::FailRequestsTo(const std::string& address) {
+  std::vector<std::uint64_t> ended;
+  for (const auto& [correlation, entry] : this->pending) {
+    if (entry.address == address) ended.push_back(correlation);
+  }
+  for (const std::uint64_t correlation : ended) {
+    this->Settle(correlation, Error(ErrorKind::kHomeUnreachable,
+                                    "the peer is taken for dead"));
+  }
+}
+
 void PeerMessenger::Reply(const wire::Envelope& request,
                           wire::Envelope answer) {
   answer.set_correlation(request.correlation());
--- a/src/libs/fleet/peer_messenger.h
+++ b/src/libs/fleet/peer_messenger.h
@@ -45,6 +45,9 @@
   void Request(const std::string& address, wire::Envelope envelope,
                base::Duration timeout, AnswerHandler done);
 
+  /// Ends requests to a process that is taken for dead.
+  void FailRequestsTo(const std::string& address);
+
   /// Answers a request.
   void Reply(const wire::Envelope& request, wire::Envelope answer);
 
@@ -53,6 +56,7 @@
 
  private:
   struct Pending {
+    std::string address;
     AnswerHandler done;
     std::unique_ptr<base::Timer> timer;
   };
