--- /dev/null
+++ b/scripts/mutations.sh
@@ -0,0 +1,97 @@
+#!/usr/bin/env bash
+# Breaks one promise after the other in a scratch copy and shows which tests
+# turn red. Exits with 1 when a mutation is not noticed.
+#
+#     mutations.sh [NAME ...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git ls-files | tar -cf - -T - | tar -xf - -C "$scratch"
+cd "$scratch"
+git init -q && git add -A && git -c user.name=m -c user.email=m@m.invalid commit -qm base
+tests="fault_scenario_test job_rules_test fleet_rules_test endpoint_contract_test
+peer_contract_test operator_contract_test"
+cmake -S . -B build -G Ninja -DCMAKE_CXX_FLAGS=-Wno-error >/dev/null
+# shellcheck disable=SC2086
+cmake --build build --target $tests >/dev/null
+
+unnoticed=0
+
+# mutate NAME FILE SED-EXPRESSION
+mutate() {
+  local name=$1 file=$2 expression=$3
+  if [ ${#wanted[@]} -gt 0 ] && [[ ! " ${wanted[*]} " == *" $name "* ]]; then return; fi
+  sed -i -E "$expression" "$file"
+  if git diff --quiet; then
+    echo "$name: the expression changes nothing"
+    unnoticed=1
+    return
+  fi
+  local red=()
+  # shellcheck disable=SC2086
+  if cmake --build build --target $tests >build/out 2>&1; then
+    for test in $tests; do
+      local path
+      path=$(find build/tests -name "$test" -type f)
+      if ! FAULT_SEEDS=${FAULT_SEEDS:-30} timeout 60 "$path" >build/out 2>&1; then
+        red+=("$test($(grep -cE '^\[  FAILED  \].*(ms|GetParam)' build/out || true))")
+      fi
+    done
+  else
+    red+=("build")
+  fi
+  git checkout -q .
+  if [ ${#red[@]} -eq 0 ]; then
+    echo "$name: NOT NOTICED"
+    unnoticed=1
+  else
+    echo "$name: red in ${red[*]}"
+  fi
+}
+
+wanted=("$@")
+lib=src/libs
+mutate start_after_deadline $lib/dispatch/routing_controller.cc \
+  's/if \(left <= base::Duration\{0\}\) return false;/return true;/'
+mutate forget_keys_early $lib/dispatch/key_registry.cc \
+  's/this->MakeEpoch\(key.epoch\).entries\[key.caller_part\] = entry;/this->MakeEpoch(key.epoch);/'
+mutate retry_unknown_start $lib/dispatch/job_controller.cc \
+  's/case AttemptOutcome::kUnknown:/case AttemptOutcome::kUnknown: this->OnNotStarted(job, task, result); return;/'
+mutate refused_key_not_sealed $lib/dispatch/job_controller.cc \
+  's/this->registry.Seal\(key, admitted.GetError\(\).Kind\(\)\);/;/'
+mutate cancelled_key_not_sealed $lib/dispatch/job_controller.cc \
+  's/this->registry.Seal\(\*key, ErrorKind::kCancelled\);/;/'
+mutate starts_not_counted $lib/dispatch/attempt_controller.cc \
+  's/\+\+job.possible_starts;//'
+mutate answers_not_addressed $lib/fleet/peer_messenger.cc \
+  's/if \(envelope.recipient\(\) != this->incarnation\) \{/if (false) {/'
+mutate failed_task_counts_as_done $lib/dispatch/job_controller.cc \
+  's/case AttemptOutcome::kFailed:/case AttemptOutcome::kFailed: this->OnCompleted(job, task, result); return;/'
+mutate stale_change_accepted $lib/fleet/config_fold.cc \
+  's/if \(service.base_generation\(\) == generation\) continue;/continue;/'
+mutate older_state_adopted $lib/fleet/config_fold.cc \
+  's/if \(next_offset <= this->next_offset\) return false;//'
+mutate gap_after_retention $lib/fleet/log_follower.cc \
+  's/if \(batch.earliest\(\) > this->ReadOffset\(\)\) \{/if (false) {/'
+mutate checkpoint_with_gap $lib/fleet/log_follower.cc \
+  's/if \(checkpoint.as_of_offset\(\) < this->recovery_start\) return;//'
+mutate no_checkpoints $lib/fleet/config_controller.cc \
+  's/if \(this->checkpoint_timer.IsActive\(\)\) return;/return;/'
+mutate leaving_ignored $lib/dispatch/dispatch_board.cc \
+  's/if \(endpoint.leaving\) return 0;//'
+mutate leaving_not_passed_on $lib/fleet/leaving_controller.cc \
+  's/heartbeat.add_leaving\(ip\);/;/'
+mutate lapsed_lease_ignored $lib/dispatch/attempt_controller.cc \
+  's/if \(!attempt.stopping \&\& now >= attempt.lease_until\) \{/if (false) {/'
+mutate slot_free_before_the_stop $lib/dispatch/attempt_controller.cc \
+  's/if \(confirmed \|\| lease_left <= base::Duration\{0\}\) \{/if (true) {/'
+mutate ownership_after_a_pause $lib/dispatch/endpoint_controller.cc \
+  's/if \(lapsed\) return false;//'
+mutate no_join_delay $lib/fleet/membership_controller.cc \
+  's/kJoinDelay = std::chrono::milliseconds\(500\)/kJoinDelay = std::chrono::milliseconds(0)/'
+mutate library_resends $lib/endpoints/http_endpoint_client.cc \
+  's/g_cancellable_cancel\(exchange->cancellable\);//'
+mutate drain_cuts_jobs $lib/dispatch/drain_controller.cc \
+  's/this->board.draining = true;/this->board.draining = true; this->Hurry();/'
+exit $unnoticed
--- a/tests/dispatch/job_rules_test.cc
+++ b/tests/dispatch/job_rules_test.cc
@@ -54,6 +54,18 @@
   EXPECT_EQ(answer->failure().execution(), wire::MAY_HAVE_RUN);
 }
 
+TEST_F(JobRulesTest, AShortPauseDoesNotStartTasksAfterTheDeadlineEither) {
+  // The answers of the first tasks are taken before the deadline's timer.
+  this->fleet.Submit("a", 8, milliseconds(200), milliseconds(500));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->fleet.Starts(), 4U);
+  this->fleet.Process("a").clock.Pause();
+  this->fleet.Run(milliseconds(700));
+  this->fleet.Process("a").clock.Resume();
+  this->fleet.Run(seconds(5));
+  EXPECT_EQ(this->fleet.Starts(), 4U);
+}
+
 TEST_F(JobRulesTest, ALeaseThatLapsedInAPauseIsAnUnknownOutcome) {
   const auto answer =
       this->fleet.Submit("a", 1, milliseconds(3500), seconds(30));
--- a/tests/fleet/fleet_rules_test.cc
+++ b/tests/fleet/fleet_rules_test.cc
@@ -207,6 +207,39 @@
   EXPECT_TRUE(IsReady("late"));
 }
 
+TEST_F(FleetRulesTest, APausedOwnerDoesNotOverfillAfterItWakes) {
+  StartNorth();
+  for (int i = 0; i < 40; ++i) {
+    this->fleet.Submit("a", 8, milliseconds(700), seconds(60));
+    this->fleet.Submit("b", 8, milliseconds(700), seconds(60));
+  }
+  this->fleet.Run(milliseconds(300));
+  this->fleet.Process("b").clock.Pause();
+  this->fleet.Run(seconds(12));
+  this->fleet.Process("b").clock.Resume();
+  this->fleet.Run(seconds(30));
+  for (const auto& [address, endpoint] : this->fleet.endpoints.All()) {
+    EXPECT_LE(endpoint.most_running, 8U) << address;
+  }
+}
+
+TEST_F(FleetRulesTest, AStartingProcessDoesNotOverfill) {
+  StartNorth();
+  for (int i = 0; i < 30; ++i) {
+    this->fleet.Submit("a", 8, milliseconds(700), seconds(60));
+  }
+  this->fleet.Run(milliseconds(300));
+  this->fleet.AddProcess("late", "north");
+  for (int i = 0; i < 30; ++i) {
+    this->fleet.Run(milliseconds(100));
+    this->fleet.Submit("late", 8, milliseconds(700), seconds(60));
+  }
+  this->fleet.Run(seconds(20));
+  for (const auto& [address, endpoint] : this->fleet.endpoints.All()) {
+    EXPECT_LE(endpoint.most_running, 8U) << address;
+  }
+}
+
 enum class LeavingSign { kVmList, kServiceFile, kOwnRefusal };
 
 struct LeavingCase {
