--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -55,7 +55,7 @@
 mutate start_after_deadline $lib/dispatch/routing_controller.cc \
   's/if \(left <= base::Duration\{0\}\) return false;/return true;/'
 mutate forget_keys_early $lib/dispatch/key_registry.cc \
-  's/this->MakeEpoch\(key.epoch\).entries\[key.caller_part\] = entry;/this->MakeEpoch(key.epoch);/'
+  's/entries\[key.caller_part\] = entry;/entries.erase(key.caller_part); static_cast<void>(entry);/'
 mutate retry_unknown_start $lib/dispatch/job_controller.cc \
   's/case AttemptOutcome::kUnknown:/case AttemptOutcome::kUnknown: this->OnNotStarted(job, task, result); return;/'
 mutate refused_key_not_sealed $lib/dispatch/job_controller.cc \
@@ -79,7 +79,7 @@
 mutate no_checkpoints $lib/fleet/config_controller.cc \
   's/if \(this->checkpoint_timer.IsActive\(\)\) return;/return;/'
 mutate leaving_ignored $lib/dispatch/dispatch_board.cc \
-  's/if \(endpoint.leaving\) return 0;//'
+  's/if \(endpoint.leaving \|\| now < endpoint.refused_until\) return 0;//'
 mutate leaving_not_passed_on $lib/fleet/leaving_controller.cc \
   's/heartbeat.add_leaving\(ip\);/;/'
 mutate lapsed_lease_ignored $lib/dispatch/attempt_controller.cc \
--- a/src/libs/dispatch/attempt_controller.cc
+++ b/src/libs/dispatch/attempt_controller.cc
@@ -63,7 +63,9 @@
   task.attempt = number;
   ++job.possible_starts;
   ++endpoint.running;
-  ++this->board.services[job.service->name].running_tasks;
+  ServiceLoad& load = this->board.services[job.service->name];
+  ++load.running_tasks;
+  load.retry_budget.OnStart(job.service->retry_budget);
   Attempt& attempt = this->board.attempts[number];
   attempt.number = number;
   attempt.job = job.id;
--- a/src/libs/dispatch/dispatch_board.cc
+++ b/src/libs/dispatch/dispatch_board.cc
@@ -41,7 +41,7 @@
 }
 
 std::uint32_t FreeSlots(const EndpointState& endpoint, base::TimePoint now) {
-  if (endpoint.leaving) return 0;
+  if (endpoint.leaving || now < endpoint.refused_until) return 0;
   std::uint32_t usable = UsableSlots(endpoint, now);
   switch (endpoint.health) {
     case EndpointHealth::kHealthy:
--- a/src/libs/dispatch/dispatch_board.h
+++ b/src/libs/dispatch/dispatch_board.h
@@ -11,6 +11,7 @@
 #include "dispatch/endpoint_state.h"
 #include "dispatch/fair_queue.h"
 #include "dispatch/job.h"
+#include "dispatch/retry_budget.h"
 #include "dispatch/run_time_estimator.h"
 #include "dispatch/throughput_meter.h"
 
@@ -46,8 +47,9 @@
   RunTimeEstimator run_time;
   /// Learned share of attempts that failed at endpoints.
   double failure_share = 0;
-  /// Retries still allowed, as a count that starts refill.
-  double retry_tokens = 0;
+  RetryBudget retry_budget;
+  /// Most tasks in flight in this process; 0 means no limit.
+  std::uint32_t max_running_tasks = 0;
   /// Endpoints that this process may use for the service.
   std::vector<EndpointState*> pool;
   /// Endpoints of any failure domain that the configuration gives it.
--- a/src/libs/dispatch/endpoint_controller.cc
+++ b/src/libs/dispatch/endpoint_controller.cc
@@ -75,6 +75,8 @@
   }
   for (const auto& [name, endpoints] : specs) {
     ServiceLoad& load = this->board.services[name];
+    load.max_running_tasks =
+        this->fleet_board.config.Find(name)->max_running_tasks;
     load.configured_endpoints = static_cast<std::uint32_t>(endpoints.size());
     for (const fleet::EndpointSpec& spec : endpoints) {
       const auto found = this->board.endpoints.find(spec.address);
--- a/src/libs/dispatch/endpoint_state.h
+++ b/src/libs/dispatch/endpoint_state.h
@@ -57,6 +57,11 @@
   std::uint64_t completed = 0;
   std::uint64_t failed = 0;
 
+  /// An endpoint that refused a task gets none until then; the pause doubles
+  /// with each refusal in a row.
+  base::TimePoint refused_until;
+  std::uint32_t refusals_in_row = 0;
+
   EndpointHealth health = EndpointHealth::kHealthy;
   /// Recent share of attempts that failed, from 0 to 1.
   double failure_share = 0;
--- a/src/libs/dispatch/health_controller.cc
+++ b/src/libs/dispatch/health_controller.cc
@@ -1,6 +1,7 @@
 #include "dispatch/health_controller.h"
 
 #include <algorithm>
+#include <chrono>
 
 #include "base/logger.h"
 #include "base/metrics.h"
@@ -20,6 +21,8 @@
 // At least this share of a pool stays out of quarantine.
 constexpr double kLeastPoolShare = 0.5;
 constexpr std::uint32_t kProbesToReturn = 3;
+constexpr base::Duration kFirstRefusalPause = std::chrono::milliseconds(50);
+constexpr std::uint32_t kMostRefusalDoublings = 5;
 constexpr std::uint32_t kMostQuarantineDoublings = 5;
 constexpr double kLeastSlowness = 0.05;
 constexpr double kMostSlowness = 20;
@@ -41,9 +44,11 @@
     case AttemptOutcome::kFailed:
     case AttemptOutcome::kUnknown:
     case AttemptOutcome::kNotSent:
-    case AttemptOutcome::kRefused:
       this->OnFailure(*attempt.endpoint, load);
       break;
+    case AttemptOutcome::kRefused:
+      this->OnRefusal(*attempt.endpoint);
+      break;
     case AttemptOutcome::kRefusedLeaving:
       break;
   }
@@ -53,6 +58,7 @@
   EndpointState& endpoint = *attempt.endpoint;
   ++endpoint.completed;
   endpoint.failures_in_row = 0;
+  endpoint.refusals_in_row = 0;
   endpoint.failure_share *= 1 - kEndpointFailureGain;
   load.failure_share *= 1 - kServiceFailureGain;
   const base::Duration took = this->clock.Now() - attempt.started_at;
@@ -81,6 +87,14 @@
   kLog.Info("An endpoint returned to work. endpoint={}", endpoint.address);
 }
 
+void HealthController::OnRefusal(EndpointState& endpoint) {
+  const std::uint32_t doublings =
+      std::min(endpoint.refusals_in_row, kMostRefusalDoublings);
+  endpoint.refused_until =
+      this->clock.Now() + kFirstRefusalPause * (1U << doublings);
+  ++endpoint.refusals_in_row;
+}
+
 void HealthController::OnFailure(EndpointState& endpoint, ServiceLoad& load) {
   ++endpoint.failed;
   ++endpoint.failures_in_row;
--- a/src/libs/dispatch/health_controller.h
+++ b/src/libs/dispatch/health_controller.h
@@ -31,6 +31,7 @@
  private:
   void OnSuccess(const Attempt& attempt, ServiceLoad& load);
   void OnProbeSuccess(EndpointState& endpoint);
+  void OnRefusal(EndpointState& endpoint);
   void OnFailure(EndpointState& endpoint, ServiceLoad& load);
   bool MayQuarantine(const EndpointState& endpoint,
                      const ServiceLoad& load) const;
--- a/src/libs/dispatch/job_controller.cc
+++ b/src/libs/dispatch/job_controller.cc
@@ -349,6 +349,12 @@
                           fmt::format("tasks[{}]", index)));
     return;
   }
+  if (!this->board.services[job.service->name].retry_budget.TryTake()) {
+    this->Fail(job, Error(ErrorKind::kRetriesExhausted,
+                          "the retry budget of the service is spent",
+                          fmt::format("tasks[{}]", index)));
+    return;
+  }
   this->metrics.Count("attempts.retries");
   this->Requeue(job, index);
 }
--- /dev/null
+++ b/src/libs/dispatch/retry_budget.cc
@@ -0,0 +1,17 @@
+#include "dispatch/retry_budget.h"
+
+#include <algorithm>
+
+namespace hawthornwheel::dispatch {
+
+void RetryBudget::OnStart(double share) {
+  this->tokens = std::min(this->tokens + share, kMostTokens);
+}
+
+bool RetryBudget::TryTake() {
+  if (this->tokens < 1) return false;
+  this->tokens -= 1;
+  return true;
+}
+
+}  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/routing_controller.cc
+++ b/src/libs/dispatch/routing_controller.cc
@@ -101,6 +101,9 @@
 bool RoutingController::IsEligible(const std::string& service) const {
   const ServiceLoad& load = this->board.services.at(service);
   if (load.queued_tasks == 0 || this->held.contains(service)) return false;
+  const bool at_limit = load.max_running_tasks > 0 &&
+                        load.running_tasks >= load.max_running_tasks;
+  if (at_limit) return false;
   const base::TimePoint now = this->clock.Now();
   return std::any_of(load.pool.begin(), load.pool.end(),
                      [now](const EndpointState* endpoint) {
--- a/tests/dispatch/job_rules_test.cc
+++ b/tests/dispatch/job_rules_test.cc
@@ -94,6 +94,42 @@
   EXPECT_EQ(answer->state(), wire::COMPLETE);
 }
 
+TEST_F(JobRulesTest, RetriesAreBoundedByTheBudget) {
+  SetModes(EndpointMode::kRefusing);
+  std::vector<std::shared_ptr<wire::JobAnswer>> answers;
+  for (int i = 0; i < 60; ++i) {
+    answers.push_back(
+        this->fleet.Submit("a", 1, milliseconds(20), seconds(30)));
+    this->fleet.Run(milliseconds(100));
+  }
+  this->fleet.Run(seconds(30));
+  const std::uint64_t started = MetricsOf("a").Counter("attempts.started");
+  const std::uint64_t retries = MetricsOf("a").Counter("attempts.retries");
+  // 20 at first, and a tenth of the starts.
+  EXPECT_LE(retries, 20U + started / 10 + 1);
+  for (const auto& answer : answers) {
+    EXPECT_EQ(answer->failure().execution(), wire::NOT_RUN);
+  }
+}
+
+TEST_F(JobRulesTest, AServiceKeepsItsLimitOfRunningTasks) {
+  this->fleet.Publish(
+      "slots = 2\n[limits]\nmax_running_tasks = 3\n[timeouts]\nlease = 1s\n");
+  this->fleet.Run(seconds(3));
+  const auto answer =
+      this->fleet.Submit("a", 12, milliseconds(100), seconds(30));
+  for (int i = 0; i < 40; ++i) {
+    this->fleet.Run(milliseconds(20));
+    EXPECT_LE(this->fleet.Process("a")
+                  .dispatcher.GetDispatchBoard()
+                  .services.at("s")
+                  .running_tasks,
+              3U);
+  }
+  this->fleet.Run(seconds(5));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+}
+
 TEST_F(JobRulesTest, AnUnknownStartIsNeverTriedAgain) {
   this->fleet.endpoints.SetFaults(0, 1, 0);
   const auto answer = this->fleet.Submit("a", 1, milliseconds(50), seconds(20));
