What the HTTP library resends, as a table in the endpoint contract

Cause: the mutation that took away the cancel in 'restarted' was not noticed. Ruled out: that the test's connection was not kept (1 connection, 2 requests). Change: five rows hold these facts; the mutation now sends PUT. Before: the guard was untested. After: without it a PUT arrives twice. Conclusion: the guard stays as a second line.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -91,7 +91,7 @@
 mutate no_join_delay $lib/fleet/membership_controller.cc \
   's/kJoinDelay = std::chrono::milliseconds\(500\)/kJoinDelay = std::chrono::milliseconds(0)/'
 mutate library_resends $lib/endpoints/http_endpoint_client.cc \
-  's/g_cancellable_cancel\(exchange->cancellable\);//'
+  's/soup_message_new\("POST", uri.c_str\(\)\);/soup_message_new("PUT", uri.c_str());/; s/^    g_cancellable_cancel\(exchange->cancellable\);//'
 mutate drain_cuts_jobs $lib/dispatch/drain_controller.cc \
   's/this->board.draining = true;/this->board.draining = true; this->Hurry();/'
 exit $unnoticed
--- a/tests/contract/endpoint_contract_test.cc
+++ b/tests/contract/endpoint_contract_test.cc
@@ -1,6 +1,7 @@
 // Contract of the endpoint interface, with its faults in tables.
 
 #include <gtest/gtest.h>
+#include <libsoup/soup.h>
 
 #include <chrono>
 #include <functional>
@@ -156,6 +157,72 @@
                  AttemptOutcome::kCompleted}),
     [](const auto& info) { return info.param.name; });
 
+// What the HTTP library does by itself when a kept connection closes before the
+// answer. The client's way of sending rests on these rows.
+struct LibraryCase {
+  const char* name;
+  const char* method;
+  bool marked_idempotent;
+  bool cancel_on_restart;
+  int requests;
+  int connections;
+};
+
+class LibraryTest : public ::testing::TestWithParam<LibraryCase> {};
+
+void CancelOnRestart(SoupMessage*, gpointer cancellable) {
+  g_cancellable_cancel(static_cast<GCancellable*>(cancellable));
+}
+
+void SetDone(GObject* source, GAsyncResult* result, gpointer done) {
+  GBytes* bytes =
+      soup_session_send_and_read_finish(SOUP_SESSION(source), result, nullptr);
+  if (bytes != nullptr) g_bytes_unref(bytes);
+  *static_cast<bool*>(done) = true;
+}
+
+TEST_P(LibraryTest, ResendsOnlyWhatItsRowSays) {
+  const LibraryCase& row = GetParam();
+  RawServer server([](const std::string&, int number) {
+    if (number == 1) return RawReaction{kGoodAnswer, false};
+    return RawReaction{"", true};
+  });
+  SoupSession* session =
+      soup_session_new_with_options("proxy-resolver", nullptr, nullptr);
+  for (int i = 0; i < 2; ++i) {
+    SoupMessage* message = soup_message_new(
+        row.method, ("http://" + server.Address() + "/x").c_str());
+    GCancellable* cancellable = g_cancellable_new();
+    if (row.marked_idempotent) {
+      soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+    }
+    if (row.cancel_on_restart) {
+      g_signal_connect(message, "restarted", G_CALLBACK(CancelOnRestart),
+                       cancellable);
+    }
+    bool done = false;
+    soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT,
+                                     cancellable, SetDone, &done);
+    RunLoopUntil([&done] { return done; });
+    g_object_unref(message);
+    g_object_unref(cancellable);
+  }
+  RunLoopFor(50);
+  EXPECT_EQ(server.Requests(), row.requests);
+  EXPECT_EQ(server.Connections(), row.connections);
+  g_object_unref(session);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Library, LibraryTest,
+    ::testing::Values(
+        LibraryCase{"GetIsResent", "GET", false, false, 3, 2},
+        LibraryCase{"PutIsResent", "PUT", false, false, 3, 2},
+        LibraryCase{"PostUsesANewConnection", "POST", false, false, 2, 2},
+        LibraryCase{"MarkedPostKeepsItsConnection", "POST", true, false, 2, 1},
+        LibraryCase{"CancelledPutIsNotResent", "PUT", false, true, 2, 1}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(EndpointContractTest, KeepsConnections) {
   RawServer server([](const std::string&, int) {
     return RawReaction{kGoodAnswer, false};
