Loans last 5 s and are renewed every 2 s

Cause: at 80% load renewals were the largest part of the wasted messages. Change: lease 5 s, renewal every 2 s. A lender that dies or loses an owner is now felt for up to 5 s instead of 3 s.

--- a/src/libs/dispatch/slot_borrower.cc
+++ b/src/libs/dispatch/slot_borrower.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Duration kRenewInterval = milliseconds(1000);
+constexpr base::Duration kRenewInterval = milliseconds(2000);
 constexpr base::Duration kCareInterval = milliseconds(50);
 constexpr base::Duration kAskTimeout = milliseconds(200);
 constexpr base::Duration kAskInterval = milliseconds(20);
--- a/src/libs/dispatch/slot_lender.cc
+++ b/src/libs/dispatch/slot_lender.cc
@@ -12,7 +12,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr base::Duration kLease = milliseconds(3000);
+constexpr base::Duration kLease = milliseconds(5000);
 constexpr base::Duration kExpiryInterval = milliseconds(50);
 // Part of its free slots that a lender gives away at once.
 constexpr std::uint32_t kLendDivisor = 2;
