--- a/bench/load_driver.cc
+++ b/bench/load_driver.cc
@@ -132,6 +132,7 @@
     const auto wait = static_cast<base::Duration::rep>(
         -mean_us * std::log(1 - this->Share()));
     this->clock.StartTimer(base::Duration(wait), [this] {
+      if (this->clock.Now() >= this->end) return;
       this->Arrive();
       this->ScheduleNext();
     });
@@ -209,6 +210,8 @@
       }
       this->LearnPrefix(entry, answer.next_prefix());
     } else {
+      fmt::print("no answer for {} from {}: '{}'\n", key, entry,
+                 body.substr(0, 200));
       this->prefixes.erase(entry);
     }
     const bool settled =
