Endpoints of a dead lender are not filled twice

Cause: up to 9 tasks at an endpoint of 8 slots when a process was killed or stopped: the new owner did not know of slots that the dead one had lent. Before (process_fault_test kill, stop): 9.

--- a/src/libs/dispatch/dispatch_board.cc
+++ b/src/libs/dispatch/dispatch_board.cc
@@ -35,7 +35,7 @@
   if (!endpoint.owned) {
     return now < endpoint.borrowed_until ? endpoint.borrowed : 0;
   }
-  if (now >= endpoint.owned_until) return 0;
+  if (now < endpoint.owned_from || now >= endpoint.owned_until) return 0;
   const std::uint32_t taken = endpoint.lent + endpoint.held_by_others;
   return endpoint.slots > taken ? endpoint.slots - taken : 0;
 }
--- a/src/libs/dispatch/dispatcher.cc
+++ b/src/libs/dispatch/dispatcher.cc
@@ -78,7 +78,10 @@
       this->routing.Run();
     };
     this->config.SetChangeListener(rebuild);
-    this->membership.SetChangeListener(rebuild);
+    this->membership.SetChangeListener([this, rebuild] {
+      this->borrower.OnMembersChanged();
+      rebuild();
+    });
     this->membership.SetDeathListener([this](const fleet::Member& member) {
       this->messenger.FailRequestsTo(member.announce.peer_address());
     });
@@ -113,6 +116,7 @@
   }
 
   void TakeCare() {
+    this->membership.CheckLive();
     if (!this->endpoints.RenewOwnership()) {
       this->membership.Rejoin();
       this->endpoints.Rebuild();
--- a/src/libs/dispatch/endpoint_controller.cc
+++ b/src/libs/dispatch/endpoint_controller.cc
@@ -16,6 +16,9 @@
 // Longer than any turn of the loop should take, and shorter than the time after
 // which others take over.
 constexpr base::Duration kOwnershipReliance = std::chrono::seconds(1);
+// Time in which former owners and borrowers report the slots that they still
+// use.
+constexpr base::Duration kTakeoverDelay = std::chrono::milliseconds(300);
 constexpr double kHashRange = 18446744073709551616.0;
 
 // Score of weighted rendezvous hashing; the highest score owns.
@@ -54,7 +57,9 @@
                                  state.config->team_weight,
                                  state.config->weight);
   }
+  this->owned_before.clear();
   for (auto& [address, endpoint] : this->board.endpoints) {
+    if (endpoint->owned) this->owned_before.insert(address);
     endpoint->owned = false;
     endpoint->leaving = this->leaving.IsLeaving(address);
   }
@@ -201,6 +206,9 @@
     state->address = claim.address;
     state->leaving = this->leaving.IsLeaving(claim.address);
   }
+  if (!this->owned_before.contains(claim.address)) {
+    state->owned_from = this->clock.Now() + kTakeoverDelay;
+  }
   state->domain = this->fleet_board.self.domain();
   state->slots = claim.slots;
   state->connections = claim.connections;
--- a/src/libs/dispatch/endpoint_controller.h
+++ b/src/libs/dispatch/endpoint_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,8 @@
   DispatchBoard& board;
   std::vector<Candidate> candidates;
   base::TimePoint owned_until;
+  /// Endpoints owned before the rebuild that is under way.
+  std::set<std::string> owned_before;
 };
 
 }  // namespace hawthornwheel::dispatch
--- a/src/libs/dispatch/endpoint_state.h
+++ b/src/libs/dispatch/endpoint_state.h
@@ -34,6 +34,9 @@
   std::uint32_t connections = 0;
   /// Whether this process owns the endpoint's slots.
   bool owned = false;
+  /// From when an endpoint that was taken over may be filled: until then those
+  /// who still use it can say so.
+  base::TimePoint owned_from;
   /// Until when the ownership may be relied on without a look at the members.
   base::TimePoint owned_until;
   /// Slots lent to other processes, of those owned.
--- a/src/libs/dispatch/slot_borrower.cc
+++ b/src/libs/dispatch/slot_borrower.cc
@@ -199,6 +199,14 @@
   return true;
 }
 
+void SlotBorrower::OnMembersChanged() { this->EndBorrowed(); }
+
+bool SlotBorrower::IsLenderLive(const EndpointState& endpoint) const {
+  const auto found = this->fleet_board.members.find(endpoint.lender);
+  return found != this->fleet_board.members.end() && !found->second.draining &&
+         this->membership.IsLive(found->second);
+}
+
 void SlotBorrower::TakeCare() {
   this->EndBorrowed();
   if (this->clock.Now() >= this->next_renewal) {
@@ -212,7 +220,9 @@
   const base::TimePoint now = this->clock.Now();
   for (auto& [address, endpoint] : this->board.endpoints) {
     if (endpoint->borrowed == 0) continue;
-    if (now >= endpoint->borrowed_until || endpoint->owned) {
+    const bool over = now >= endpoint->borrowed_until || endpoint->owned ||
+                      !this->IsLenderLive(*endpoint);
+    if (over) {
       endpoint->borrowed = 0;
       this->RemoveFromPool(*endpoint);
       continue;
--- a/src/libs/dispatch/slot_borrower.h
+++ b/src/libs/dispatch/slot_borrower.h
@@ -45,6 +45,9 @@
   /// Asks for slots for services whose queue has no free slot here.
   void OnStarved();
 
+  /// Ends loans whose lender is no longer live; its endpoints get new owners.
+  void OnMembersChanged();
+
   /// Sets the function called after slots were gained.
   void SetSlotListener(std::function<void()> listener);
 
@@ -77,6 +80,7 @@
 
   void TakeCare();
   void EndBorrowed();
+  bool IsLenderLive(const EndpointState& endpoint) const;
   void ReturnSlots(EndpointState& endpoint, std::uint32_t slots);
   void RenewBorrowed();
   void OnRenewed(const std::string& lender, base::TimePoint asked_at,
--- a/src/libs/endpoints/http_endpoint_client.cc
+++ b/src/libs/endpoints/http_endpoint_client.cc
@@ -235,7 +235,8 @@
   exchange->done = std::move(done);
   exchange->alive = this->d->alive;
   // Marked idempotent, the library keeps connections for POST. Should it ever
-  // resend one, as it does for GET and PUT, the handler of `restarted` stops it.
+  // resend one, as it does for GET and PUT, the handler of `restarted` stops
+  // it.
   soup_message_add_flags(exchange->message, SOUP_MESSAGE_IDEMPOTENT);
   soup_message_add_flags(exchange->message, SOUP_MESSAGE_NO_REDIRECT);
   g_signal_connect(exchange->message, "starting",
--- a/src/libs/fleet/membership_controller.cc
+++ b/src/libs/fleet/membership_controller.cc
@@ -130,6 +130,8 @@
   }
 }
 
+void MembershipController::CheckLive() { this->NotifyChange(); }
+
 bool MembershipController::HasJoined() const {
   return !this->leaving && this->clock.Now() >= this->joined_at;
 }
--- a/src/libs/fleet/membership_controller.h
+++ b/src/libs/fleet/membership_controller.h
@@ -65,6 +65,9 @@
   /// has answered, or failed to.
   void Leave(std::function<void()> done);
 
+  /// Looks for members that fell silent.
+  void CheckLive();
+
   /// Whether this process counts as live in its domain.
   bool HasJoined() const;
 
--- a/tests/fleet/fleet_rules_test.cc
+++ b/tests/fleet/fleet_rules_test.cc
@@ -242,6 +242,22 @@
   }
 }
 
+TEST_F(FleetRulesTest, ADeadLendersSlotsAreNotFilledTwice) {
+  StartNorth();
+  for (int i = 0; i < 60; ++i) {
+    this->fleet.Submit("a", 8, milliseconds(900), seconds(100));
+    this->fleet.Submit("c", 8, milliseconds(900), seconds(100));
+    this->fleet.Run(milliseconds(10));
+  }
+  this->fleet.Run(seconds(2));
+  ASSERT_GT(this->fleet.Process("c").metrics.Counter("loans.taken"), 0U);
+  this->fleet.Kill("b");
+  this->fleet.Run(seconds(40));
+  for (const auto& [address, endpoint] : this->fleet.endpoints.All()) {
+    EXPECT_LE(endpoint.most_running, 8U) << address;
+  }
+}
+
 enum class LeavingSign { kVmList, kServiceFile, kOwnRefusal };
 
 struct LeavingCase {
--- a/tests/system/process_fault_test.sh
+++ b/tests/system/process_fault_test.sh
@@ -28,8 +28,8 @@
 
 "$build/bench/load_driver" --entries="$entries" \
   --controls="$(control_of north),$(control_of south)" \
-  --jobs_per_second=40 --tasks=4 --run_ms=100 --seconds=8 --resubmit=0.2 \
-  --seed=7 >"$work/driver" 2>&1 &
+  --jobs_per_second="${RATE:-40}" --tasks=4 --run_ms="${RUN_MS:-100}" --seconds=8 --resubmit=0.2 \
+  --seed="${SEED:-7}" >"$work/driver" 2>&1 &
 driver=$!
 sleep 2
 case $fault in
