--- a/src/libs/fleet/config_controller.cc
+++ b/src/libs/fleet/config_controller.cc
@@ -1,12 +1,12 @@
 #include "fleet/config_controller.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
-#include "absl/hash/hash.h"
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "fleet/peer_messenger.h"
@@ -141,8 +141,10 @@
   if (age < batch.retention_ms() / kCheckpointRetentionDivisor) return;
   // Processes wait for different times, so that mostly one writes. Two
   // checkpoints do no harm.
-  const std::size_t hash = absl::HashOf(this->board.self.incarnation()) %
-                           static_cast<std::size_t>(kCheckpointSpread.count());
+  const std::string& name = this->board.self.incarnation();
+  const std::uint64_t hash =
+      XXH64(name.data(), name.size(), 0) %
+      static_cast<std::uint64_t>(kCheckpointSpread.count());
   this->checkpoint_timer.StartOnce(
       base::Duration(static_cast<base::Duration::rep>(hash)),
       [this] { this->WriteCheckpoint(); });
