--- a/src/libs/base/metrics.cc
+++ b/src/libs/base/metrics.cc
@@ -17,6 +17,9 @@
 
 constexpr std::array<double, 3> kProbabilities = {0.5, 0.9, 0.99};
 
+// The estimator of quantiles has no answer before it has filled its markers.
+constexpr std::size_t kLeastForQuantiles = 2 * kProbabilities.size() + 3;
+
 using Distribution = acc::accumulator_set<
     double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max,
                        acc::tag::extended_p_square>>;
@@ -69,10 +72,11 @@
     const auto quantiles = acc::extended_p_square(values);
     samples.push_back({name + ".count", double(acc::count(values))});
     samples.push_back({name + ".mean", acc::mean(values)});
+    samples.push_back({name + ".max", acc::max(values)});
+    if (acc::count(values) < kLeastForQuantiles) continue;
     samples.push_back({name + ".p50", quantiles[0]});
     samples.push_back({name + ".p90", quantiles[1]});
     samples.push_back({name + ".p99", quantiles[2]});
-    samples.push_back({name + ".max", acc::max(values)});
   }
   return samples;
 }
--- a/src/libs/base/metrics.h
+++ b/src/libs/base/metrics.h
@@ -32,8 +32,8 @@
   /// Value of a counter; 0 when nothing was counted.
   std::uint64_t Counter(std::string_view name) const;
 
-  /// All counters, and count, mean, median, p99 and maximum of each
-  /// distribution, in alphabetical order.
+  /// All counters, then count, mean, maximum, median, p90 and p99 of each
+  /// distribution, by name. Quantiles are left out below nine values.
   std::vector<MetricSample> Report() const;
 
  private:
--- /dev/null
+++ b/tests/dispatch/fair_queue_test.cc
@@ -0,0 +1,96 @@
+#include "dispatch/fair_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace hawthornwheel::dispatch {
+namespace {
+
+using fleet::Urgency;
+
+// Serves a queue in which every class always has a job, and counts the shares.
+class FairQueueTest : public ::testing::Test {
+ protected:
+  void Add(const std::string& team, const std::string& service,
+           Urgency urgency) {
+    const JobId id = ++this->last;
+    this->paths[id] = {team, service, urgency};
+    this->queue.PushBack(this->paths[id], id);
+  }
+
+  // Serves `rounds` tasks of equal cost and returns the share of each job.
+  std::map<JobId, double> Serve(int rounds) {
+    std::map<JobId, double> shares;
+    for (int i = 0; i < rounds; ++i) {
+      const JobId id = this->queue.Next(
+          [this](const std::string& service) {
+            return !this->blocked.contains(service);
+          },
+          [this](JobId job) { return !this->dead.contains(job); });
+      if (id == 0) break;
+      shares[id] += 1.0 / rounds;
+      this->queue.Charge(this->paths[id], 1000);
+    }
+    return shares;
+  }
+
+  FairQueue queue;
+  std::map<JobId, FairQueue::Path> paths;
+  std::set<std::string> blocked;
+  std::set<JobId> dead;
+  JobId last = 0;
+};
+
+TEST_F(FairQueueTest, TeamsShareByWeight) {
+  this->Add("a", "s1", Urgency::kNormal);
+  this->Add("b", "s2", Urgency::kUrgent);
+  this->queue.SetWeights({"a", "s1"}, 3, 1);
+  auto shares = this->Serve(4000);
+  EXPECT_NEAR(shares[1], 0.75, 0.01);
+  EXPECT_NEAR(shares[2], 0.25, 0.01);
+}
+
+TEST_F(FairQueueTest, AFloodOfServicesDoesNotRaiseATeamsShare) {
+  this->Add("a", "s1", Urgency::kNormal);
+  for (int i = 0; i < 9; ++i) {
+    this->Add("b", "f" + std::to_string(i), Urgency::kUrgent);
+  }
+  EXPECT_NEAR(this->Serve(4000)[1], 0.5, 0.01);
+}
+
+TEST_F(FairQueueTest, TheMostUrgentClassLeavesTheOthersSomething) {
+  this->Add("a", "s", Urgency::kUrgent);
+  this->Add("a", "s", Urgency::kNormal);
+  this->Add("a", "s", Urgency::kBulk);
+  auto shares = this->Serve(4200);
+  EXPECT_NEAR(shares[1], 16.0 / 21, 0.01);
+  EXPECT_NEAR(shares[2], 4.0 / 21, 0.01);
+  EXPECT_NEAR(shares[3], 1.0 / 21, 0.01);
+}
+
+TEST_F(FairQueueTest, ATeamThatWasIdleClaimsNothingOfThePast) {
+  this->Add("a", "s1", Urgency::kNormal);
+  this->Serve(100'000);
+  this->Add("b", "s2", Urgency::kNormal);
+  EXPECT_NEAR(this->Serve(1000)[2], 0.5, 0.01);
+}
+
+TEST_F(FairQueueTest, ABlockedServiceHoldsUpNobody) {
+  this->Add("a", "s1", Urgency::kUrgent);
+  this->Add("b", "s2", Urgency::kBulk);
+  this->blocked = {"s1"};
+  EXPECT_EQ(this->Serve(10)[2], 1.0);
+}
+
+TEST_F(FairQueueTest, JobsThatEndedAreDropped) {
+  for (int i = 0; i < 1000; ++i) this->Add("a", "s", Urgency::kNormal);
+  for (JobId id = 1; id < 1000; ++id) this->dead.insert(id);
+  EXPECT_EQ(this->Serve(1).begin()->first, 1000U);
+  EXPECT_EQ(this->queue.Size(), 1U);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::dispatch
