--- a/tests/dispatch/fair_queue_test.cc
+++ b/tests/dispatch/fair_queue_test.cc
@@ -1,5 +1,6 @@
 #include "dispatch/fair_queue.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <map>
@@ -56,7 +57,7 @@
 TEST_F(FairQueueTest, AFloodOfServicesDoesNotRaiseATeamsShare) {
   this->Add("a", "s1", Urgency::kNormal);
   for (int i = 0; i < 9; ++i) {
-    this->Add("b", "f" + std::to_string(i), Urgency::kUrgent);
+    this->Add("b", fmt::format("f{}", i), Urgency::kUrgent);
   }
   EXPECT_NEAR(this->Serve(4000)[1], 0.5, 0.01);
 }
