JSON output of publish and config; response time against ideal as a metric

Change: publish and config print JSON; response_ratio observes a job's time over the longest run of its tasks. Before: text whatever was asked.

--- a/src/hawthornwheelctl/command.cc
+++ b/src/hawthornwheelctl/command.cc
@@ -87,6 +87,72 @@
   return fmt::format("{}-{:08x}{:08x}", operator_name, device(), device());
 }
 
+void Set(Struct& object, const std::string& name, const std::string& value) {
+  (*object.mutable_fields())[name].set_string_value(value);
+}
+
+void Set(Struct& object, const std::string& name, double value) {
+  (*object.mutable_fields())[name].set_number_value(value);
+}
+
+Struct* AddObject(Struct& root, const std::string& list) {
+  return (*root.mutable_fields())[list]
+      .mutable_list_value()
+      ->add_values()
+      ->mutable_struct_value();
+}
+
+void PrintReport(const operators::PublishReport& report) {
+  for (const operators::ServiceDifference& difference : report.differences) {
+    fmt::print("{} {}\n", difference.kind, difference.service);
+    for (const std::string& line : difference.lines) {
+      fmt::print("  {}\n", line);
+    }
+  }
+  if (report.differences.empty()) {
+    fmt::print("nothing changed\n");
+  } else {
+    fmt::print("accepted at offset {}\n", report.offset);
+  }
+}
+
+void PrintReportAsJson(const operators::PublishReport& report) {
+  Struct root;
+  (*root.mutable_fields())["differences"].mutable_list_value();
+  for (const operators::ServiceDifference& difference : report.differences) {
+    Struct* entry = AddObject(root, "differences");
+    Set(*entry, "service", difference.service);
+    Set(*entry, "kind", difference.kind);
+  }
+  if (!report.differences.empty()) {
+    Set(root, "offset", static_cast<double>(report.offset));
+  }
+  fmt::print("{}\n", wire::ToJson(root));
+}
+
+void PrintConfigAsJson(const fleet::ConfigFold& fold) {
+  Struct root;
+  (*root.mutable_fields())["services"].mutable_list_value();
+  for (const auto& [name, state] : fold.Services()) {
+    Struct* entry = AddObject(root, "services");
+    Set(*entry, "service", name);
+    Set(*entry, "generation", static_cast<double>(state.generation));
+    Set(*entry, "operator", state.operator_name);
+    Set(*entry, "content", state.content);
+    (*entry->mutable_fields())["removed"].set_bool_value(state.removed);
+  }
+  (*root.mutable_fields())["history"].mutable_list_value();
+  for (const fleet::ChangeOutcome& outcome : fold.History()) {
+    Struct* entry = AddObject(root, "history");
+    Set(*entry, "offset", static_cast<double>(outcome.offset));
+    Set(*entry, "verdict",
+        std::string(fleet::ChangeVerdictName(outcome.verdict)));
+    Set(*entry, "operator", outcome.operator_name);
+    Set(*entry, "detail", outcome.detail);
+  }
+  fmt::print("{}\n", wire::ToJson(root));
+}
+
 ExitCode Publish(const std::string& folder, const CommandOptions& options) {
   if (options.platform_address.empty()) return Usage("--platform is missing");
   const operators::ServiceFolder content = operators::ReadServiceFolder(folder);
@@ -103,16 +169,10 @@
       content.services, options.remove_missing, options.operator_name,
       NewRecordId(options.operator_name));
   if (!report) return Report(report.GetError());
-  for (const operators::ServiceDifference& difference : report->differences) {
-    fmt::print("{} {}\n", difference.kind, difference.service);
-    for (const std::string& line : difference.lines) {
-      fmt::print("  {}\n", line);
-    }
-  }
-  if (report->differences.empty()) {
-    fmt::print("nothing changed\n");
+  if (options.json) {
+    PrintReportAsJson(*report);
   } else {
-    fmt::print("accepted at offset {}\n", report->offset);
+    PrintReport(*report);
   }
   return ExitCode::kOk;
 }
@@ -125,6 +185,10 @@
   operators::ConfigReader reader(platform, runner);
   const auto caught_up = reader.CatchUp();
   if (!caught_up) return Report(caught_up.GetError());
+  if (options.json) {
+    PrintConfigAsJson(reader.Fold());
+    return ExitCode::kOk;
+  }
   if (what == "show") {
     for (const auto& [name, state] : reader.Fold().Services()) {
       fmt::print("# service {} generation {} by {}{}\n{}\n", name,
--- a/src/libs/dispatch/attempt_controller.cc
+++ b/src/libs/dispatch/attempt_controller.cc
@@ -61,6 +61,7 @@
   Task& task = job.tasks[task_index];
   task.state = TaskState::kRunning;
   task.attempt = number;
+  task.started_at = now;
   ++job.possible_starts;
   ++endpoint.running;
   ServiceLoad& load = this->board.services[job.service->name];
--- a/src/libs/dispatch/job.h
+++ b/src/libs/dispatch/job.h
@@ -28,6 +28,7 @@
   bool idempotent = false;
   TaskState state = TaskState::kQueued;
   AttemptNumber attempt = 0;
+  base::TimePoint started_at;
   std::uint32_t refusals = 0;
   std::string result;
 };
@@ -56,6 +57,8 @@
   /// Indices of tasks to start, the next one last.
   std::vector<std::uint32_t> queued;
   std::uint32_t completed = 0;
+  /// Longest time that one of its tasks took at its endpoint.
+  base::Duration longest_run{0};
   /// Attempts sent that are not known to have been refused before the start.
   std::uint32_t possible_starts = 0;
   bool ended = false;
--- a/src/libs/dispatch/job_lifecycle.cc
+++ b/src/libs/dispatch/job_lifecycle.cc
@@ -127,6 +127,8 @@
   task.state = TaskState::kCompleted;
   task.attempt = 0;
   task.result = result.content;
+  job.longest_run =
+      std::max(job.longest_run, this->clock.Now() - task.started_at);
   ++job.completed;
   if (job.completed == job.tasks.size()) this->Complete(job);
 }
@@ -173,6 +175,12 @@
   this->metrics.Observe(
       fmt::format("response_ms.{}", fleet::UrgencyName(job.urgency)),
       static_cast<double>(took.count()) / kMicrosecondsPerMillisecond);
+  if (job.longest_run.count() > 0) {
+    // The ideal is that all tasks start at once where they ran.
+    this->metrics.Observe("response_ratio",
+                          static_cast<double>(took.count()) /
+                              static_cast<double>(job.longest_run.count()));
+  }
   this->metrics.Count("jobs.completed");
   this->End(job, std::move(answer));
 }
