The limit of connections is the dispatcher's alone

Cause: the HTTP client held back attempts above 63 connections at one endpoint, after they counted as started, and a service could set as many slots as connections, which leaves none for a stop. Change: the library's own limit is out of the way; connections must be above slots. Before: slots above 63 would have waited inside the library.

--- a/src/libs/endpoints/http_endpoint_client.cc
+++ b/src/libs/endpoints/http_endpoint_client.cc
@@ -19,7 +19,9 @@
 using std::chrono::milliseconds;
 
 constexpr guint kMostConnections = 1U << 16;
-constexpr guint kConnectionsPerEndpoint = 64;
+// The dispatcher keeps the limits of slots and connections; the library must
+// never hold back an attempt that counts as started.
+constexpr guint kConnectionsPerEndpoint = 4096;
 // Below the keep-alive times that are usual on servers, so that a request
 // rarely meets a connection that the endpoint is about to close.
 constexpr guint kIdleConnectionSeconds = 4;
@@ -205,10 +207,9 @@
 
 HttpEndpointClient::HttpEndpointClient(base::Metrics& metrics)
     : d(std::make_unique<Private>(metrics)) {
-  // One connection of the limit is left for control messages.
   this->d->session = soup_session_new_with_options(
       "max-conns", kMostConnections, "max-conns-per-host",
-      kConnectionsPerEndpoint - 1, "idle-timeout", kIdleConnectionSeconds,
+      kConnectionsPerEndpoint, "idle-timeout", kIdleConnectionSeconds,
       "timeout", 0U, "proxy-resolver", nullptr, nullptr);
   this->d->control_session = soup_session_new_with_options(
       "max-conns", kMostConnections, "max-conns-per-host", 1U, "idle-timeout",
--- a/src/libs/fleet/service_config.cc
+++ b/src/libs/fleet/service_config.cc
@@ -86,8 +86,9 @@
       reader.Integer("endpoints", "slots", 8, 1, kMostSlots));
   config.connections = static_cast<std::uint32_t>(
       reader.Integer("endpoints", "connections", 64, 1, kMostConnections));
-  if (config.connections < config.slots) {
-    reader.AddFault("endpoints", "connections", "is below slots");
+  if (config.connections <= config.slots) {
+    reader.AddFault("endpoints", "connections",
+                    "must be above slots, one is kept for control messages");
   }
 }
 
--- a/tests/contract/operator_contract_test.cc
+++ b/tests/contract/operator_contract_test.cc
@@ -82,6 +82,11 @@
             {"6: endpoints.slots: must be a whole number from 1 to 1024",
              "7: endpoints.connections: must be a whole number from 1 to 4096",
              "9: limits.weight: must be a number from 0.01 to 100"}},
+        ServiceFileCase{
+            "TooFewConnections",
+            std::string(kGoodService) + "slots = 8\nconnections = 8\n",
+            {"7: endpoints.connections: must be above slots, one "
+             "is kept for control messages"}},
         ServiceFileCase{
             "WrongUnits",
             std::string(kGoodService) + "[timeouts]\ntask = 5\nlease = 3h\n",
