--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -51,6 +51,7 @@
                         held.free_accelerators()};
       candidate.free -= this->remote.Unseen(address, held.id());
       if (candidate.free.cpu_milli <= 0) continue;
+      if (this->remote.IsRefused(address, held.id())) continue;
       candidate.endpoint = held.id();
       candidate.service = held.service();
       candidate.holder = address;
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -85,6 +85,8 @@
   outgoing = std::move(this->reports);
   this->reports.clear();
   for (auto& [address, envelope] : outgoing) {
+    envelope.mutable_placement_report()->set_steady_ms(
+        this->cluster.OwnSteady());
     this->cluster.Send(address, std::move(envelope));
   }
 }
@@ -115,6 +117,15 @@
   return unseen;
 }
 
+bool RemoteRuns::IsRefused(const std::string& address,
+                           const std::string& endpoint) const {
+  const auto refusal = this->refusals.find({address, endpoint});
+  if (refusal == this->refusals.end()) return false;
+  const cluster::ClusterBoard::Member* member =
+      this->cluster.Board().FindLive(address);
+  return member != nullptr && member->last.steady_ms() <= refusal->second;
+}
+
 bool RemoteRuns::Receive(const wire::Envelope& envelope) {
   switch (envelope.body_case()) {
     case wire::Envelope::kPlace:
@@ -189,6 +200,10 @@
     const auto found = this->placements.find(end.placement());
     if (found == this->placements.end()) continue;
     if (found->second.incarnation != envelope.sender()) continue;
+    if (static_cast<RunOutcome>(end.outcome()) == RunOutcome::kNotRun) {
+      this->refusals[{found->second.address, found->second.order.endpoint}] =
+          envelope.placement_report().steady_ms();
+    }
     this->End(end.placement(), static_cast<RunOutcome>(end.outcome()));
   }
 }
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/timer.h"
@@ -47,6 +48,10 @@
   catalog::Resources Unseen(const std::string& address,
                             const std::string& endpoint) const;
 
+  /// Whether the member at `address` has refused a task for `endpoint` and has
+  /// told no room there since.
+  bool IsRefused(const std::string& address, const std::string& endpoint) const;
+
   /// Looks for members that were lost.
   void CheckMembers();
 
@@ -90,6 +95,8 @@
   std::uint64_t next_placement = 1;
   std::map<std::uint64_t, Placement> placements;
   std::map<HostedKey, Hosted> hosted;
+  /// Holder and endpoint of refused tasks, with the holder's steady clock then.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> refusals;
   std::map<std::string, wire::Envelope> places;
   std::map<std::string, wire::Envelope> reports;
   base::Timer flush_timer;
