News of room goes at once only to processes that wait for it

Cause: heartbeats on each change woke all loops; each turn visits some 120 sources of the HTTP library's connections.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -32,6 +32,8 @@
   wire::MemberAnnounce self;
   /// Set once a planned stop has begun.
   bool leaving = false;
+  /// Whether tasks of this process wait for room anywhere.
+  bool wanting = false;
   /// Others by peer address.
   std::map<std::string, Member> members;
 
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -24,10 +24,12 @@
 constexpr base::Duration kLostAfter = milliseconds(800);
 // Heartbeats to members that are not live: new ones are tried often.
 constexpr base::Duration kForgetAfter = seconds(60);
-// News of free room travels at once within a failure domain, and with less
-// traffic between failure domains.
-constexpr base::Duration kDomainNewsDelay = milliseconds(10);
-constexpr base::Duration kAllNewsDelay = milliseconds(50);
+// News of free room goes to those that wait for it at once, and to the others
+// at leisure: their views only have to be good enough for a first try.
+constexpr base::Duration kWantingNewsDelay = milliseconds(8);
+constexpr base::Duration kNewsDelay = milliseconds(100);
+// Least time between two messages that tell of waiting tasks.
+constexpr base::Duration kWantInterval = milliseconds(50);
 // Time in which each live member has sent three heartbeats.
 constexpr base::Duration kSettleTime = milliseconds(700);
 // A beat that comes this late means that the process did not run.
@@ -60,10 +62,11 @@
     : parts(parts),
       seeds(std::move(seeds)),
       beat_timer(parts.clock),
-      domain_timer(parts.clock),
-      all_timer(parts.clock),
+      wanting_timer(parts.clock),
+      news_timer(parts.clock),
       announce_timer(parts.clock),
       presence_timer(parts.clock),
+      last_want(parts.clock.Now()),
       last_beat(parts.clock.Now()),
       unsettled_until(parts.clock.Now() + kSettleTime),
       last_sync(parts.clock.Now()) {
@@ -237,14 +240,27 @@
 }
 
 void ClusterController::MarkChanged() {
-  if (!this->domain_timer.IsActive()) {
-    this->domain_timer.StartOnce(
-        kDomainNewsDelay, [this] { this->SendHeartbeats(Audience::kDomain); });
-  }
-  if (!this->all_timer.IsActive()) {
-    this->all_timer.StartOnce(kAllNewsDelay,
-                              [this] { this->SendHeartbeats(Audience::kAll); });
+  if (!this->news_timer.IsActive()) {
+    this->news_timer.StartOnce(
+        kNewsDelay, [this] { this->SendHeartbeats(Audience::kLive); });
   }
+  const bool somebody_wants =
+      std::any_of(this->board.members.begin(), this->board.members.end(),
+                  [](const auto& item) {
+                    return item.second.live && item.second.last.wanting();
+                  });
+  if (!somebody_wants || this->wanting_timer.IsActive()) return;
+  this->wanting_timer.StartOnce(
+      kWantingNewsDelay, [this] { this->SendHeartbeats(Audience::kWanting); });
+}
+
+void ClusterController::SetWanting(bool wanting) {
+  if (wanting == this->board.wanting) return;
+  this->board.wanting = wanting;
+  const base::TimePoint now = this->parts.clock.Now();
+  if (!wanting || now - this->last_want < kWantInterval) return;
+  this->last_want = now;
+  this->SendHeartbeats(Audience::kLive);
 }
 
 void ClusterController::SendHeartbeats(Audience audience) {
@@ -252,6 +268,7 @@
   wire::MemberHeartbeat& beat = *envelope.mutable_member_heartbeat();
   *beat.mutable_member() = this->board.self;
   beat.set_leaving(this->board.leaving);
+  beat.set_wanting(this->board.wanting);
   beat.set_steady_ms(this->OwnSteady());
   beat.set_config_version(this->parts.catalog.Board().Version());
   beat.set_endpoints_offset(this->parts.catalog.Board().endpoints_offset);
@@ -262,11 +279,8 @@
     }
   }
   for (const auto& [address, member] : this->board.members) {
-    const bool same_domain =
-        member.announce.domain() == this->board.self.domain();
-    if (audience == Audience::kDomain && (!same_domain || !member.live)) {
-      continue;
-    }
+    if (audience != Audience::kAll && !member.live) continue;
+    if (audience == Audience::kWanting && !member.last.wanting()) continue;
     this->Send(address, envelope);
   }
 }
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -53,9 +53,13 @@
   /// Called when a member told news of the room at its endpoints.
   void SetRoomListener(std::function<void()> listener);
 
-  /// Sends heartbeats soon, since what they tell has changed.
+  /// Sends heartbeats soon, since what they tell has changed; first to those
+  /// that wait for room.
   void MarkChanged();
 
+  /// Sets whether tasks of this process wait for room anywhere.
+  void SetWanting(bool wanting);
+
   /// Tells all that this process leaves.
   void Leave();
 
@@ -76,7 +80,7 @@
   bool IsSettled() const;
 
  private:
-  enum class Audience { kAll, kDomain };
+  enum class Audience { kAll, kLive, kWanting };
 
   void Beat();
   void SendHeartbeats(Audience audience);
@@ -101,10 +105,11 @@
   std::function<void()> members_listener;
   std::function<void()> room_listener;
   base::Timer beat_timer;
-  base::Timer domain_timer;
-  base::Timer all_timer;
+  base::Timer wanting_timer;
+  base::Timer news_timer;
   base::Timer announce_timer;
   base::Timer presence_timer;
+  base::TimePoint last_want;
   base::TimePoint last_beat;
   base::TimePoint unsettled_until;
   base::TimePoint last_sync;
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -84,4 +84,8 @@
   this->pool.StopTask(placed.endpoint, placed.task, placed.run);
 }
 
+void FleetPlacer::SetWanting(bool wanting) {
+  this->cluster.SetWanting(wanting);
+}
+
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -25,6 +25,7 @@
   bool Place(const Candidate& candidate, const runs::TaskOrder& order,
              runs::RunEndHandler on_end, PlacedRun* placed) override;
   void Stop(const PlacedRun& placed) override;
+  void SetWanting(bool wanting) override;
 
  private:
   void AddLocal(std::vector<Candidate>& candidates) const;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -114,7 +114,10 @@
   for (const auto& [id, job] : this->jobs) {
     if (job->waiting > 0) waiting.push_back(job);
   }
-  if (waiting.empty()) return;
+  if (waiting.empty()) {
+    this->placer.SetWanting(false);
+    return;
+  }
   // Jobs that have begun come first, since only their last task brings an
   // answer; then those that must start soonest.
   std::sort(waiting.begin(), waiting.end(),
@@ -123,9 +126,12 @@
               return a->latest_start < b->latest_start;
             });
   std::vector<Candidate> candidates = this->placer.Candidates();
+  bool placed_all = true;
   for (const JobPointer& job : waiting) {
-    if (!this->PlaceTasks(*job, candidates)) break;
+    placed_all = this->PlaceTasks(*job, candidates);
+    if (!placed_all) break;
   }
+  this->placer.SetWanting(!placed_all);
 }
 
 bool JobCoordinator::PlaceTasks(Job& job, std::vector<Candidate>& candidates) {
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -32,6 +32,9 @@
                      runs::RunEndHandler on_end, PlacedRun* placed) = 0;
 
   virtual void Stop(const PlacedRun& placed) = 0;
+
+  /// Tells whether tasks wait for room.
+  virtual void SetWanting(bool wanting) = 0;
 };
 
 }  // namespace hawthornwheel::jobs
