Tasks whose progress shows a miss run anew at a faster endpoint

Change: polls look at long runs after 160 ms; the home moves a task when its measured work fits the time left elsewhere. Stuck runs count as failures of the endpoint, slow ones move its learned pace.

--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -10,8 +10,6 @@
 // chance of meeting the objective.
 constexpr double kSameDomainCost = 0.02;
 constexpr double kOtherDomainCost = 0.06;
-// Spread of the logarithm of real against declared run times.
-constexpr double kEstimateSpread = 0.45;
 // Spread of the logarithm of the learned pace.
 constexpr double kPaceSpread = 0.15;
 // What an answer within the deadline but past the objective is worth.
@@ -58,7 +56,7 @@
   const double expected = std::max(
       static_cast<double>(need.estimate.count()) * candidate.pace, 1.0);
   return ChanceBelow(static_cast<double>(need.deadline.count()) / expected,
-                     kEstimateSpread);
+                     need.estimate_spread);
 }
 
 double Score(const Candidate& candidate, const TaskNeed& need,
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -9,12 +9,18 @@
 
 namespace hawthornwheel::jobs {
 
+/// Spread of declared run times, and of those that progress has shown.
+inline constexpr double kDeclaredSpread = 0.45;
+inline constexpr double kMeasuredSpread = 0.12;
+
 /// What a task asks of an endpoint.
 struct TaskNeed {
   std::string service;
   std::string label;
   catalog::Resources resources;
   base::Duration estimate{0};
+  /// Spread of the logarithm of the real run time around the estimate.
+  double estimate_spread = kDeclaredSpread;
   /// Longest pace at which its job meets the latency objective: run times of
   /// the longest task that the objective allows.
   double objective_pace = 1;
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -66,13 +66,13 @@
 
 bool FleetPlacer::Place(const Candidate& candidate,
                         const runs::TaskOrder& order,
-                        runs::RunEndHandler on_end, PlacedRun* placed) {
+                        runs::RunHandlers handlers, PlacedRun* placed) {
   *placed = {0, order.endpoint, order.task, order.run};
   if (candidate.holder.empty()) {
-    return this->pool.StartTask(order, std::move(on_end));
+    return this->pool.StartTask(order, std::move(handlers));
   }
   placed->placement =
-      this->remote.Place(candidate.holder, order, std::move(on_end));
+      this->remote.Place(candidate.holder, order, std::move(handlers));
   return true;
 }
 
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -23,7 +23,7 @@
 
   std::vector<Candidate> Candidates() const override;
   bool Place(const Candidate& candidate, const runs::TaskOrder& order,
-             runs::RunEndHandler on_end, PlacedRun* placed) override;
+             runs::RunHandlers handlers, PlacedRun* placed) override;
   void Stop(const PlacedRun& placed) override;
   void SetWanting(bool wanting) override;
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -25,6 +25,10 @@
     std::uint64_t run = 0;
     int failed_runs = 0;
     PlacedRun placed;
+    /// Learned pace of the endpoint that it was placed at.
+    double pace = 1;
+    /// Being stopped, to run at a faster endpoint.
+    bool moving = false;
     std::set<std::string> avoid;
   };
 
@@ -40,6 +44,10 @@
   /// Until when its first task must have been placed.
   base::TimePoint latest_start;
   std::vector<Task> tasks;
+  /// Run time of its tasks at an endpoint of pace 1: as declared, or as the
+  /// progress of one of them has shown.
+  base::Duration work{0};
+  bool work_measured = false;
   int waiting = 0;
   int done = 0;
   /// Whether any order may have reached an endpoint.
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -7,7 +7,6 @@
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
-#include "jobs/endpoint_choice.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -25,6 +24,11 @@
 // Copies of a job may come seconds after its answer.
 constexpr base::Duration kRememberEnded = seconds(10);
 constexpr base::Duration kForgetInterval = seconds(1);
+// A stop, and the start at another endpoint.
+constexpr base::Duration kMoveTime = milliseconds(70);
+// Beyond this many run times a task is stuck, and its progress says nothing of
+// its work.
+constexpr int kStuckRunTimes = 8;
 constexpr base::Duration kNotReadyRetry = seconds(1);
 
 base::Duration Scale(base::Duration span, double factor) {
@@ -80,6 +84,7 @@
   job->config_version = configuration->version;
   job->tasks.resize(static_cast<std::size_t>(job->request.task_count));
   job->waiting = job->request.task_count;
+  job->work = job->request.estimate;
   job->timer = std::make_unique<base::Timer>(this->clock);
   job->responders.emplace_back(caller, std::move(respond));
   this->SetTimes(*job);
@@ -134,18 +139,25 @@
   this->placer.SetWanting(!placed_all);
 }
 
-bool JobCoordinator::PlaceTasks(Job& job, std::vector<Candidate>& candidates) {
+TaskNeed JobCoordinator::NeedOf(const Job& job) const {
   const base::TimePoint now = this->clock.Now();
   TaskNeed need;
   need.service = job.route.service;
   need.label = job.request.required_label;
   need.resources = job.request.resources;
-  need.estimate = job.request.estimate;
-  const auto estimate_us =
-      std::max<double>(static_cast<double>(job.request.estimate.count()), 1);
+  need.estimate = job.work;
+  need.estimate_spread = job.work_measured ? kMeasuredSpread : kDeclaredSpread;
+  const auto work_us =
+      std::max<double>(static_cast<double>(job.work.count()), 1);
   need.objective_pace =
-      static_cast<double>((job.objective_end - now).count()) / estimate_us;
+      static_cast<double>((job.objective_end - now).count()) / work_us;
   need.deadline = job.deadline - now;
+  return need;
+}
+
+bool JobCoordinator::PlaceTasks(Job& job, std::vector<Candidate>& candidates) {
+  const base::TimePoint now = this->clock.Now();
+  TaskNeed need = this->NeedOf(job);
   for (std::size_t index = 0; index < job.tasks.size(); ++index) {
     Job::Task& task = job.tasks[index];
     if (task.state != Job::TaskState::kWaiting) continue;
@@ -158,14 +170,21 @@
     order.endpoint = candidate->endpoint;
     order.payload = job.request.payload;
     order.resources = job.request.resources;
-    order.estimate = job.request.estimate;
-    const bool placed = this->placer.Place(
-        *candidate, order,
-        [this, id = job.request.id, index, run = task.run,
-         endpoint = candidate->endpoint](RunOutcome outcome) {
-          this->OnRunEnd(id, index, run, outcome, endpoint);
-        },
-        &task.placed);
+    order.estimate = job.work;
+    order.time_left = need.deadline;
+    runs::RunHandlers handlers;
+    handlers.on_end = [this, id = job.request.id, index, run = task.run,
+                       endpoint = candidate->endpoint](RunOutcome outcome) {
+      this->OnRunEnd(id, index, run, outcome, endpoint);
+    };
+    handlers.on_overdue = [this, id = job.request.id, index,
+                           run = task.run](base::Duration expected) {
+      this->OnOverdue(id, index, run, expected);
+    };
+    task.pace = candidate->pace;
+    task.moving = false;
+    const bool placed = this->placer.Place(*candidate, order,
+                                           std::move(handlers), &task.placed);
     if (!placed) {
       --task.run;
       candidate->free = {};
@@ -221,6 +240,47 @@
   ++job.waiting;
 }
 
+// Starts a task anew at a faster endpoint when only that meets the deadline.
+void JobCoordinator::OnOverdue(const std::string& id, std::size_t index,
+                               std::uint64_t run, base::Duration expected) {
+  const auto found = this->jobs.find(id);
+  if (found == this->jobs.end()) return;
+  Job& job = *found->second;
+  Job::Task& task = job.tasks[index];
+  if (task.state != Job::TaskState::kPlaced || task.run != run || task.moving) {
+    return;
+  }
+  const base::Duration work = Scale(expected, 1 / task.pace);
+  const bool stuck = work > kStuckRunTimes * job.work;
+  TaskNeed need = this->NeedOf(job);
+  if (!stuck) {
+    need.estimate = work;
+    need.estimate_spread = kMeasuredSpread;
+  }
+  need.deadline -= kMoveTime;
+  std::set<std::string> avoid = task.avoid;
+  avoid.insert(task.placed.endpoint);
+  need.avoid = &avoid;
+  std::vector<Candidate> candidates = this->placer.Candidates();
+  const Candidate* better = ChooseEndpoint(candidates, need);
+  const bool in_time =
+      better != nullptr && Scale(need.estimate, better->pace) < need.deadline;
+  kLog.Info(
+      "Task is overdue. job={} task={} run={} endpoint={} expected_ms={} "
+      "left_ms={} moves={}",
+      id, index, run, task.placed.endpoint, expected / milliseconds(1),
+      (job.deadline - this->clock.Now()) / milliseconds(1), in_time);
+  if (!in_time) return;
+  if (!stuck) {
+    job.work = work;
+    job.work_measured = true;
+  }
+  task.moving = true;
+  task.avoid.insert(task.placed.endpoint);
+  this->metrics.Count("jobs.moved_tasks");
+  this->placer.Stop(task.placed);
+}
+
 void JobCoordinator::ArmTimer(Job& job) {
   const base::TimePoint due = job.may_have_run
                                   ? job.deadline
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/timer.h"
+#include "jobs/endpoint_choice.h"
 #include "jobs/job.h"
 #include "jobs/retry_advisor.h"
 
@@ -67,6 +68,9 @@
   bool PlaceTasks(Job& job, std::vector<Candidate>& candidates);
   void OnRunEnd(const std::string& id, std::size_t task, std::uint64_t run,
                 runs::RunOutcome outcome, const std::string& endpoint);
+  void OnOverdue(const std::string& id, std::size_t task, std::uint64_t run,
+                 base::Duration expected);
+  TaskNeed NeedOf(const Job& job) const;
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
   void Finish(const std::string& id, JobEnd end, const char* cause);
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -29,7 +29,7 @@
   /// Starts a task at `candidate`; returns false, having done nothing, when it
   /// has no room after all.
   virtual bool Place(const Candidate& candidate, const runs::TaskOrder& order,
-                     runs::RunEndHandler on_end, PlacedRun* placed) = 0;
+                     runs::RunHandlers handlers, PlacedRun* placed) = 0;
 
   virtual void Stop(const PlacedRun& placed) = 0;
 
--- a/src/libs/runs/endpoint_health.cc
+++ b/src/libs/runs/endpoint_health.cc
@@ -12,6 +12,10 @@
 // Weight of a new run in the learned pace. Declared times are off by about
 // 40%; ten runs bring the error of the mean near 10%.
 constexpr double kPaceWeight = 0.12;
+// A run that is overdue is measured by its progress, not by its end.
+constexpr double kOverdueWeight = 0.25;
+// Beyond this many declared run times a run counts as stuck, not as slow.
+constexpr double kStuckRatio = 12;
 constexpr double kLeastPace = 0.2;
 constexpr double kMostPace = 20;
 constexpr double kFailureWeight = 0.2;
@@ -30,11 +34,27 @@
   this->probing = false;
   if (this->failure_share < kMostFailureShare / 4) this->quarantines = 0;
   if (estimate <= base::Duration{0}) return;
-  const double ratio = std::clamp(static_cast<double>(actual.count()) /
-                                      static_cast<double>(estimate.count()),
-                                  kLeastPace, kMostPace);
-  this->pace = std::exp((1 - kPaceWeight) * std::log(this->pace) +
-                        kPaceWeight * std::log(ratio));
+  this->MovePace(static_cast<double>(actual.count()) /
+                     static_cast<double>(estimate.count()),
+                 kPaceWeight);
+}
+
+void EndpointHealth::RecordOverdue(base::TimePoint now, base::Duration estimate,
+                                   base::Duration expected) {
+  if (estimate <= base::Duration{0}) return;
+  const double ratio = static_cast<double>(expected.count()) /
+                       static_cast<double>(estimate.count());
+  if (ratio > kStuckRatio) {
+    this->RecordFailure(now);
+    return;
+  }
+  this->MovePace(ratio, kOverdueWeight);
+}
+
+void EndpointHealth::MovePace(double ratio, double weight) {
+  const double bounded = std::clamp(ratio, kLeastPace, kMostPace);
+  this->pace = std::exp((1 - weight) * std::log(this->pace) +
+                        weight * std::log(bounded));
 }
 
 void EndpointHealth::RecordFailure(base::TimePoint now) {
--- a/src/libs/runs/endpoint_health.h
+++ b/src/libs/runs/endpoint_health.h
@@ -11,9 +11,13 @@
   /// A task ended well after `actual`, declared as `estimate`.
   void RecordDone(base::Duration estimate, base::Duration actual);
 
-  /// A run failed, or was overdue and given up.
+  /// A run failed.
   void RecordFailure(base::TimePoint now);
 
+  /// A run declared as `estimate` is heading for `expected` and ends too late.
+  void RecordOverdue(base::TimePoint now, base::Duration estimate,
+                     base::Duration expected);
+
   /// The endpoint refused a start for load.
   void RecordRefusal(base::TimePoint now);
 
@@ -24,6 +28,8 @@
   double Pace() const { return this->pace; }
 
  private:
+  void MovePace(double ratio, double weight);
+
   double pace = 1;
   /// Moving share of runs that failed.
   double failure_share = 0;
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -43,10 +43,10 @@
   this->listener = std::move(new_listener);
 }
 
-bool EndpointPool::StartTask(const TaskOrder& order, RunEndHandler on_end) {
+bool EndpointPool::StartTask(const TaskOrder& order, RunHandlers handlers) {
   const auto found = this->sessions.find(order.endpoint);
   if (found == this->sessions.end()) return false;
-  const bool started = found->second->Start(order, std::move(on_end));
+  const bool started = found->second->Start(order, std::move(handlers));
   if (started) this->parts.cluster.MarkChanged();
   return started;
 }
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -46,7 +46,7 @@
 
   /// Starts a task at the endpoint that the order names; returns false, having
   /// done nothing, when it is not held, not open, or has no room.
-  bool StartTask(const TaskOrder& order, RunEndHandler on_end);
+  bool StartTask(const TaskOrder& order, RunHandlers handlers);
 
   /// Stops a run; its handler is called when it has ended.
   void StopTask(const std::string& endpoint, const std::string& task,
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -29,6 +29,17 @@
 constexpr int kMostFenceRaises = 10;
 constexpr std::int64_t kFirstFenceRaiseMs = 1'000;
 
+// Progress is told in whole percents; shorter spans tell too little.
+constexpr base::Duration kLeastProgressAge = milliseconds(90);
+constexpr int kWholePercent = 100;
+// Expected rest of a run that makes no progress.
+constexpr base::Duration kStandingStill = std::chrono::seconds(60);
+// The progress of long runs is looked at early, while there is still time to
+// run them elsewhere.
+constexpr base::Duration kLongEstimate = milliseconds(350);
+constexpr base::Duration kWatchTime = milliseconds(500);
+constexpr base::Duration kWatchWait = milliseconds(160);
+
 const char* NameOf(SessionState state) {
   switch (state) {
     case SessionState::kClaiming:
@@ -99,16 +110,18 @@
   return room;
 }
 
-bool EndpointSession::Start(const TaskOrder& order, RunEndHandler on_end) {
+bool EndpointSession::Start(const TaskOrder& order, RunHandlers handlers) {
   if (!this->IsOpen() || !order.resources.FitsInto(this->Free())) return false;
   const RunKey key{order.task, order.run};
   if (this->runs.contains(key)) return false;
   const base::TimePoint now = this->parts.clock.Now();
   Run& run = this->runs[key];
   run.order = order;
-  run.on_end = std::move(on_end);
+  run.handlers = std::move(handlers);
   run.fence = this->fence;
   run.started = now;
+  run.progress_read = now;
+  run.useful_until = now + order.time_left;
   run.timer = std::make_unique<base::Timer>(this->parts.clock);
   run.timer->StartOnce(this->parts.settings.doubt_after,
                        [this] { this->Recheck(); });
@@ -128,7 +141,7 @@
                              if (*living)
                                this->OnStartReply(key, order_fence, reply);
                            });
-  if (this->open_polls == 0) this->Poll(this->parts.settings.poll_wait, false);
+  if (this->open_polls == 0) this->Poll(this->PollWait(), false);
   return true;
 }
 
@@ -274,7 +287,7 @@
     return;
   }
   if (this->runs.empty() && this->seen_end == this->acked_end) return;
-  this->Poll(this->parts.settings.poll_wait, false);
+  this->Poll(this->PollWait(), false);
 }
 
 void EndpointSession::OnPollReply(const PollOrder& order,
@@ -415,6 +428,51 @@
     }
   }
   for (const auto& [key, outcome] : gone) this->End(key, outcome);
+  for (const RunningRow& row : reply.running) this->TakeProgress(row);
+}
+
+void EndpointSession::TakeProgress(const RunningRow& row) {
+  const auto found = this->runs.find({row.task, row.run});
+  if (found == this->runs.end()) return;
+  Run& run = found->second;
+  if (run.foreign || run.state != RunState::kRunning) return;
+  const base::TimePoint now = this->parts.clock.Now();
+  const base::Duration age = now - run.started;
+  const base::Duration since = now - run.progress_read;
+  if (age < kLeastProgressAge || since < kLeastProgressAge) return;
+  // From the pace since the last reading, so that a run that stands still
+  // after a good start is seen.
+  const int gained = row.percent - run.percent;
+  const base::Duration rest =
+      gained <= 0 ? kStandingStill
+                  : since * (kWholePercent - row.percent) / gained;
+  run.percent = row.percent;
+  run.progress_read = now;
+  const base::Duration expected = age + rest;
+  if (run.started + expected <= run.useful_until) return;
+  kLog.Info(
+      "Run is overdue. endpoint={} task={} run={} percent={} age_ms={} "
+      "expected_ms={}",
+      this->entry.id, row.task, row.run, row.percent, age / milliseconds(1),
+      expected / milliseconds(1));
+  if (!run.overdue) {
+    run.overdue = true;
+    this->parts.metrics.Count("runs.overdue");
+    this->health.RecordOverdue(now, run.order.estimate, expected);
+  }
+  const auto on_overdue = run.handlers.on_overdue;
+  if (on_overdue) on_overdue(expected);
+}
+
+base::Duration EndpointSession::PollWait() const {
+  const base::TimePoint now = this->parts.clock.Now();
+  const bool watch = std::any_of(
+      this->runs.begin(), this->runs.end(), [now](const auto& item) {
+        return item.second.order.estimate >= kLongEstimate &&
+               now - item.second.started < kWatchTime;
+      });
+  return watch ? std::min(kWatchWait, this->parts.settings.poll_wait)
+               : this->parts.settings.poll_wait;
 }
 
 void EndpointSession::AddForeign(const RunningRow& row) {
@@ -426,7 +484,7 @@
   run.started = this->parts.clock.Now();
   run.start_answered = true;
   run.state = RunState::kStopping;
-  run.on_end = [](RunOutcome) {};
+  run.handlers.on_end = [](RunOutcome) {};
   this->SendStop(key);
 }
 
@@ -465,7 +523,7 @@
 void EndpointSession::End(const RunKey& key, RunOutcome outcome) {
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
-  const RunEndHandler on_end = std::move(found->second.on_end);
+  const auto on_end = std::move(found->second.handlers.on_end);
   this->runs.erase(found);
   this->parts.metrics.Count(std::string("runs.ended.") + runs::NameOf(outcome));
   on_end(outcome);
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -71,7 +71,7 @@
 
   /// Starts a task; returns false, having done nothing, when it is not open
   /// or has no room.
-  bool Start(const TaskOrder& order, RunEndHandler on_end);
+  bool Start(const TaskOrder& order, RunHandlers handlers);
 
   /// Stops a run; its handler is called when it has ended.
   void Stop(const std::string& task, std::uint64_t run);
@@ -84,12 +84,17 @@
   struct Run {
     RunState state = RunState::kStarting;
     TaskOrder order;
-    RunEndHandler on_end;
+    RunHandlers handlers;
     /// Started by another process, so its needs are not known.
     bool foreign = false;
     /// Token of its start order.
     std::uint64_t fence = 0;
     base::TimePoint started;
+    base::TimePoint useful_until;
+    /// Latest reading of its progress.
+    int percent = 0;
+    base::TimePoint progress_read;
+    bool overdue = false;
     bool start_answered = false;
     /// Endpoint's clock when it took the stop; 0 before.
     std::int64_t stop_clock_ms = 0;
@@ -105,6 +110,8 @@
   void OnFenced(std::uint64_t order_fence);
   void TakeEnds(const PollReply& reply);
   void TakeRunning(const PollOrder& order, const PollReply& reply);
+  void TakeProgress(const RunningRow& row);
+  base::Duration PollWait() const;
   void AddForeign(const RunningRow& row);
   void OnStartReply(const RunKey& key, std::uint64_t order_fence,
                     const OrderReply& reply);
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -40,14 +40,14 @@
 }
 
 std::uint64_t RemoteRuns::Place(const std::string& address,
-                                const TaskOrder& order, RunEndHandler on_end) {
+                                const TaskOrder& order, RunHandlers handlers) {
   const std::uint64_t id = this->next_placement++;
   const cluster::ClusterBoard::Member* member =
       this->cluster.Board().FindLive(address);
   Placement& placement = this->placements[id];
   placement.address = address;
   placement.order = order;
-  placement.on_end = std::move(on_end);
+  placement.handlers = std::move(handlers);
   if (member == nullptr) {
     placement.owner_lost = true;
     placement.lost_at = this->clock.Now() - kLostRunsEnd;
@@ -69,10 +69,10 @@
       static_cast<std::uint32_t>(order.resources.accelerators));
   task.set_estimate_ms(
       static_cast<std::uint32_t>(order.estimate / milliseconds(1)));
+  task.set_time_left_ms(
+      static_cast<std::uint32_t>(order.time_left / milliseconds(1)));
   this->metrics.Count("remote.placed");
-  if (!this->flush_timer.IsActive()) {
-    this->flush_timer.StartOnce(base::Duration{0}, [this] { this->Flush(); });
-  }
+  this->FlushSoon();
   return id;
 }
 
@@ -168,12 +168,17 @@
     order.payload = task.payload();
     order.resources = {task.cpu_milli(), task.memory_mb(), task.accelerators()};
     order.estimate = milliseconds(task.estimate_ms());
+    order.time_left = milliseconds(task.time_left_ms());
     const HostedKey key{address, envelope.sender(), task.placement()};
-    const bool started =
-        this->pool.StartTask(order, [this, key](RunOutcome outcome) {
-          this->hosted.erase(key);
-          this->Report(std::get<0>(key), std::get<2>(key), outcome);
-        });
+    RunHandlers handlers;
+    handlers.on_end = [this, key](RunOutcome outcome) {
+      this->hosted.erase(key);
+      this->Report(std::get<0>(key), std::get<2>(key), outcome);
+    };
+    handlers.on_overdue = [this, key](base::Duration expected) {
+      this->ReportOverdue(std::get<0>(key), std::get<2>(key), expected);
+    };
+    const bool started = this->pool.StartTask(order, std::move(handlers));
     if (started) {
       this->hosted[key] = {order.endpoint, order.task, order.run};
       this->metrics.Count("remote.hosted");
@@ -190,9 +195,23 @@
       *this->reports[address].mutable_placement_report()->add_ends();
   end.set_placement(placement);
   end.set_outcome(static_cast<std::uint32_t>(outcome));
-  if (!this->flush_timer.IsActive()) {
-    this->flush_timer.StartOnce(base::Duration{0}, [this] { this->Flush(); });
-  }
+  this->FlushSoon();
+}
+
+void RemoteRuns::ReportOverdue(const std::string& address,
+                               std::uint64_t placement,
+                               base::Duration expected) {
+  wire::PlacementOverdue& overdue =
+      *this->reports[address].mutable_placement_report()->add_overdue();
+  overdue.set_placement(placement);
+  overdue.set_expected_ms(
+      static_cast<std::uint32_t>(expected / milliseconds(1)));
+  this->FlushSoon();
+}
+
+void RemoteRuns::FlushSoon() {
+  if (this->flush_timer.IsActive()) return;
+  this->flush_timer.StartOnce(base::Duration{0}, [this] { this->Flush(); });
 }
 
 void RemoteRuns::ReceiveReport(const wire::Envelope& envelope) {
@@ -206,6 +225,14 @@
     }
     this->End(end.placement(), static_cast<RunOutcome>(end.outcome()));
   }
+  for (const wire::PlacementOverdue& overdue :
+       envelope.placement_report().overdue()) {
+    const auto found = this->placements.find(overdue.placement());
+    if (found == this->placements.end()) continue;
+    if (found->second.incarnation != envelope.sender()) continue;
+    const auto on_overdue = found->second.handlers.on_overdue;
+    if (on_overdue) on_overdue(milliseconds(overdue.expected_ms()));
+  }
 }
 
 void RemoteRuns::ReceiveStop(const wire::Envelope& envelope) {
@@ -222,7 +249,7 @@
 void RemoteRuns::End(std::uint64_t placement, RunOutcome outcome) {
   const auto found = this->placements.find(placement);
   if (found == this->placements.end()) return;
-  const RunEndHandler on_end = std::move(found->second.on_end);
+  const auto on_end = std::move(found->second.handlers.on_end);
   this->placements.erase(found);
   on_end(outcome);
 }
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -35,7 +35,7 @@
   /// Sends a task to the live member at `address`; the handler is called when
   /// its fate is certain.
   std::uint64_t Place(const std::string& address, const TaskOrder& order,
-                      RunEndHandler on_end);
+                      RunHandlers handlers);
 
   /// Stops a placed task.
   void Stop(std::uint64_t placement);
@@ -64,7 +64,7 @@
     std::string address;
     std::string incarnation;
     TaskOrder order;
-    RunEndHandler on_end;
+    RunHandlers handlers;
     std::uint64_t owner_steady_ms = 0;
     bool owner_lost = false;
     base::TimePoint lost_at;
@@ -84,6 +84,9 @@
   void ReceiveStop(const wire::Envelope& envelope);
   void Report(const std::string& address, std::uint64_t placement,
               RunOutcome outcome);
+  void ReportOverdue(const std::string& address, std::uint64_t placement,
+                     base::Duration expected);
+  void FlushSoon();
   void End(std::uint64_t placement, RunOutcome outcome);
   void CheckOwners();
   void CheckHomes();
--- a/src/libs/runs/task_order.h
+++ b/src/libs/runs/task_order.h
@@ -36,8 +36,17 @@
   catalog::Resources resources;
   /// Declared run time.
   base::Duration estimate{0};
+  /// How long from now its end is of use to the caller.
+  base::Duration time_left{0};
 };
 
-using RunEndHandler = std::function<void(RunOutcome)>;
+/// Called back about one run.
+struct RunHandlers {
+  /// Once, when the run has ended.
+  std::function<void(RunOutcome)> on_end;
+  /// When its progress shows that it will end too late; tells the whole run
+  /// time that it is heading for. May come more than once.
+  std::function<void(base::Duration expected)> on_overdue;
+};
 
 }  // namespace hawthornwheel::runs
