--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -30,8 +30,8 @@
 constexpr base::Duration kNewsDelay = milliseconds(100);
 // Least time between two messages that tell of waiting tasks.
 constexpr base::Duration kWantInterval = milliseconds(50);
-// Time in which each live member has sent three heartbeats.
-constexpr base::Duration kSettleTime = milliseconds(700);
+// Time in which each live member has sent two heartbeats.
+constexpr base::Duration kSettleTime = milliseconds(450);
 // A beat that comes this late means that the process did not run.
 constexpr base::Duration kPauseNoticed = milliseconds(600);
 constexpr base::Duration kSyncInterval = milliseconds(150);
--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -19,6 +19,8 @@
 constexpr double kSpeedCost = 0.08;
 // Weight of the room that a task leaves unusable on an endpoint.
 constexpr double kTightFitWeight = 0.02;
+// Pace of the fastest endpoints of the users' fleets.
+constexpr double kFastPace = 0.6;
 // Below this chance of meeting the deadline a task is not started.
 constexpr double kLeastChance = 0.1;
 
@@ -52,9 +54,9 @@
   return 0.5 * std::erfc(-std::log(ratio) / (spread * std::sqrt(2.0)));
 }
 
-double DeadlineChance(const Candidate& candidate, const TaskNeed& need) {
-  const double expected = std::max(
-      static_cast<double>(need.estimate.count()) * candidate.pace, 1.0);
+double DeadlineChance(double pace, const TaskNeed& need) {
+  const double expected =
+      std::max(static_cast<double>(need.estimate.count()) * pace, 1.0);
   return ChanceBelow(static_cast<double>(need.deadline.count()) / expected,
                      need.estimate_spread);
 }
@@ -81,7 +83,7 @@
   double best_score = 0;
   for (Candidate& candidate : candidates) {
     if (!IsAllowed(candidate, need)) continue;
-    const double chance = DeadlineChance(candidate, need);
+    const double chance = DeadlineChance(candidate.pace, need);
     if (chance < kLeastChance) continue;
     const double score = Score(candidate, need, chance);
     if (best != nullptr && score <= best_score) continue;
@@ -91,4 +93,8 @@
   return best;
 }
 
+bool CanMeetDeadline(const TaskNeed& need) {
+  return DeadlineChance(kFastPace, need) >= kLeastChance;
+}
+
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -37,4 +37,7 @@
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskNeed& need);
 
+/// Whether a fast endpoint with room would be likely to run it in time.
+bool CanMeetDeadline(const TaskNeed& need);
+
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -50,10 +50,15 @@
   bool work_measured = false;
   int waiting = 0;
   int done = 0;
-  /// Whether any order may have reached an endpoint.
-  bool may_have_run = false;
+  /// Tasks that are placed at present.
+  int placed = 0;
+  /// Whether a run is known to have started.
+  bool has_run = false;
   std::vector<std::pair<std::uint64_t, JobResponder>> responders;
   std::unique_ptr<base::Timer> timer;
+
+  /// Whether an order may have been carried out, or still may be.
+  bool MayHaveRun() const { return this->has_run || this->placed > 0; }
 };
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -29,6 +29,8 @@
 // Beyond this many run times a task is stuck, and its progress says nothing of
 // its work.
 constexpr int kStuckRunTimes = 8;
+// The balancer sends callers to other processes at once.
+constexpr base::Duration kLeavingRetry = seconds(1);
 constexpr base::Duration kNotReadyRetry = seconds(1);
 
 base::Duration Scale(base::Duration span, double factor) {
@@ -65,6 +67,10 @@
     respond({remembered->second.end, {}});
     return caller;
   }
+  if (this->refusing) {
+    respond({JobEnd::kRejected, kLeavingRetry});
+    return caller;
+  }
   const auto configuration = this->catalog.Board().configuration;
   if (!configuration) {
     respond({JobEnd::kNotReady, kNotReadyRetry});
@@ -124,19 +130,30 @@
     return;
   }
   // Jobs that have begun come first, since only their last task brings an
-  // answer; then those that must start soonest.
+  // answer; then the more urgent routes, and those that must start soonest.
   std::sort(waiting.begin(), waiting.end(),
             [](const JobPointer& a, const JobPointer& b) {
-              if (a->may_have_run != b->may_have_run) return a->may_have_run;
+              if (a->MayHaveRun() != b->MayHaveRun()) return a->MayHaveRun();
+              if (a->route.priority != b->route.priority) {
+                return a->route.priority < b->route.priority;
+              }
               return a->latest_start < b->latest_start;
             });
   std::vector<Candidate> candidates = this->placer.Candidates();
-  bool placed_all = true;
+  bool wanting = false;
   for (const JobPointer& job : waiting) {
-    placed_all = this->PlaceTasks(*job, candidates);
-    if (!placed_all) break;
+    if (this->PlaceTasks(*job, candidates)) continue;
+    if (!CanMeetDeadline(this->NeedOf(*job))) {
+      this->Finish(job->request.id,
+                   job->MayHaveRun() ? JobEnd::kInterrupted : JobEnd::kRejected,
+                   "cannot end in time");
+      continue;
+    }
+    // Those behind it wait too, or a large task would never find room.
+    wanting = true;
+    break;
   }
-  this->placer.SetWanting(!placed_all);
+  this->placer.SetWanting(wanting);
 }
 
 TaskNeed JobCoordinator::NeedOf(const Job& job) const {
@@ -194,8 +211,7 @@
     candidate->free -= order.resources;
     task.state = Job::TaskState::kPlaced;
     --job.waiting;
-    if (!job.may_have_run) {
-      job.may_have_run = true;
+    if (++job.placed == 1 && !job.has_run) {
       this->metrics.Observe(
           "jobs.wait_ms",
           static_cast<double>((now - job.arrival) / milliseconds(1)));
@@ -214,6 +230,10 @@
   Job& job = *found->second;
   Job::Task& task = job.tasks[index];
   if (task.state != Job::TaskState::kPlaced || task.run != run) return;
+  --job.placed;
+  const bool refused =
+      outcome == RunOutcome::kNotRun || outcome == RunOutcome::kStaleRun;
+  if (!refused) job.has_run = true;
   if (outcome == RunOutcome::kDone) {
     task.state = Job::TaskState::kDone;
     ++job.done;
@@ -238,6 +258,8 @@
   if (outcome == RunOutcome::kStaleRun) task.run += 8;
   task.state = Job::TaskState::kWaiting;
   ++job.waiting;
+  // With all its tasks refused, the job has not begun after all.
+  if (!job.MayHaveRun()) this->ArmTimer(job);
 }
 
 // Starts a task anew at a faster endpoint when only that meets the deadline.
@@ -282,7 +304,7 @@
 }
 
 void JobCoordinator::ArmTimer(Job& job) {
-  const base::TimePoint due = job.may_have_run
+  const base::TimePoint due = job.MayHaveRun()
                                   ? job.deadline
                                   : std::min(job.latest_start, job.deadline);
   job.timer->StartOnce(due - this->clock.Now(),
@@ -293,7 +315,7 @@
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   Job& job = *found->second;
-  if (!job.may_have_run) {
+  if (!job.MayHaveRun()) {
     this->Finish(id, JobEnd::kRejected, "no room in time");
     return;
   }
@@ -315,6 +337,16 @@
   return true;
 }
 
+void JobCoordinator::InterruptAll() {
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : this->jobs) ids.push_back(id);
+  for (const std::string& id : ids) {
+    const bool began = this->jobs[id]->MayHaveRun();
+    this->Finish(id, began ? JobEnd::kInterrupted : JobEnd::kRejected,
+                 "process stops");
+  }
+}
+
 void JobCoordinator::Finish(const std::string& id, JobEnd end,
                             const char* cause) {
   const auto found = this->jobs.find(id);
@@ -357,7 +389,7 @@
   return std::count_if(this->jobs.begin(), this->jobs.end(),
                        [route](const auto& item) {
                          return item.second->route.name == route->name &&
-                                !item.second->may_have_run;
+                                !item.second->MayHaveRun();
                        });
 }
 
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -40,6 +40,12 @@
   /// Stops a job; returns false when it is not known here.
   bool Cancel(const std::string& id);
 
+  /// Refuses all new jobs from now on; those in the works go on.
+  void RefuseNew() { this->refusing = true; }
+
+  /// Answers all jobs in the works as interrupted and stops their tasks.
+  void InterruptAll();
+
   bool Contains(const std::string& id) const { return this->jobs.contains(id); }
 
   /// Answers of PendingOn() beside a count.
@@ -85,6 +91,7 @@
   /// Answers of the last seconds, for callers that send a job again.
   std::map<std::string, Ended> ended;
   std::uint64_t next_caller = 1;
+  bool refusing = false;
   base::Timer pump_timer;
   base::Timer forget_timer;
 };
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -34,8 +34,10 @@
 // callers keep their connections, so a stop serves on for this long at least.
 constexpr base::Duration kLeastDrain = milliseconds(2'500);
 constexpr base::Duration kDrainCheck = milliseconds(100);
-// Left of the time for a stop, for the answers under way.
-constexpr base::Duration kDrainReserve = milliseconds(700);
+// Left of the time for a stop when what is still open is interrupted.
+constexpr base::Duration kDrainReserve = milliseconds(350);
+// A job that is taken with this much left can still end: callers wait 1.5 s.
+constexpr base::Duration kLastJobTime = milliseconds(1'900);
 
 std::string NewIncarnation(const std::string& name) {
   std::random_device device;
@@ -102,8 +104,16 @@
     const bool idle = this->jobs.OpenJobs() == 0 &&
                       this->remote.HostedCount() == 0 &&
                       this->front.OpenRequests() == 0;
+    if (age >= this->settings.drain_time - kLastJobTime) {
+      this->jobs.RefuseNew();
+    }
     const bool late = age >= this->settings.drain_time - kDrainReserve;
     if ((age < kLeastDrain || !idle) && !late) return;
+    if (this->jobs.OpenJobs() > 0) {
+      // The next turn of the loop sends the answers.
+      this->jobs.InterruptAll();
+      return;
+    }
     this->drain_timer.Stop();
     kLog.Info("Stopped. drain_ms={} open_jobs={}", age / milliseconds(1),
               this->jobs.OpenJobs());
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -22,6 +22,8 @@
 constexpr int kMostPollFailures = 2;
 constexpr base::Duration kFirstProbe = milliseconds(250);
 constexpr base::Duration kLongestProbe = milliseconds(2'000);
+// Time in which the heartbeats of a holder arrive once a partition is over.
+constexpr base::Duration kClaimDelay = milliseconds(500);
 // A stop without an answer is sent again.
 constexpr base::Duration kStopRetry = milliseconds(150);
 // The token in force may come from a clock that is ahead; each refusal of a
@@ -271,18 +273,25 @@
   ++this->open_polls;
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
-      order, [this, order, living = this->alive](const PollReply& reply) {
+      order, [this, order, generation = this->poll_generation,
+              living = this->alive](const PollReply& reply) {
         if (!*living) return;
-        --this->open_polls;
+        const bool counted = generation == this->poll_generation;
+        if (counted) --this->open_polls;
+        const bool lost = reply.order.outcome == OrderOutcome::kUnanswered;
+        if (lost && !counted) return;
         this->OnPollReply(order, reply);
       });
 }
 
 void EndpointSession::PollAgain() {
   if (this->open_polls > 0 || this->state == SessionState::kFencedOff) return;
-  const bool claiming = this->state == SessionState::kClaiming;
   const bool unreachable = this->state == SessionState::kUnreachable;
-  if (claiming || unreachable) {
+  if (unreachable && this->runs.empty()) {
+    this->Probe();
+    return;
+  }
+  if (unreachable || this->state == SessionState::kClaiming) {
     this->Poll(base::Duration{0}, unreachable);
     return;
   }
@@ -290,6 +299,30 @@
   this->Poll(this->PollWait(), false);
 }
 
+// Asks without a token whether the endpoint can be reached. After a partition
+// its holder on the other side may be alive; the claim waits until that one's
+// heartbeats had time to arrive.
+void EndpointSession::Probe() {
+  if (this->probe_open) return;
+  this->probe_open = true;
+  PollOrder order;
+  order.target = this->Target(this->parts.settings.answer_time);
+  order.target.fence = 0;
+  this->parts.orders.Poll(
+      order, [this, living = this->alive](const PollReply& reply) {
+        if (!*living) return;
+        this->probe_open = false;
+        if (this->state != SessionState::kUnreachable) return;
+        if (reply.order.outcome == OrderOutcome::kUnanswered) {
+          this->OnPollFailed(reply.order);
+          return;
+        }
+        this->SetState(SessionState::kClaiming, "endpoint answers again");
+        this->failures = 0;
+        this->poll_timer.StartOnce(kClaimDelay, [this] { this->PollAgain(); });
+      });
+}
+
 void EndpointSession::OnPollReply(const PollOrder& order,
                                   const PollReply& reply) {
   if (!this->CheckIncarnation(reply.order.born_ms)) {
@@ -335,6 +368,12 @@
     }
   }
   this->on_change();
+  // Where an answer was lost, an older poll may be lost with it; ends must not
+  // wait until it times out.
+  if (order.wait <= base::Duration{0}) {
+    ++this->poll_generation;
+    this->open_polls = 0;
+  }
   this->PollAgain();
 }
 
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -104,6 +104,7 @@
   void Claim();
   void Poll(base::Duration wait, bool raise_fence);
   void PollAgain();
+  void Probe();
   void OnPollReply(const PollOrder& order, const PollReply& reply);
   void OnPollAccepted(const PollOrder& order, const PollReply& reply);
   void OnPollFailed(const OrderReply& reply);
@@ -141,10 +142,13 @@
   base::TimePoint clock_read;
   /// Until when runs may live on without a renewal, by this machine's clock.
   base::TimePoint lapse;
+  /// Polls under way, but for those before the last recheck.
   int open_polls = 0;
+  std::uint64_t poll_generation = 0;
   int failures = 0;
   int fence_raises = 0;
   bool recheck_due = false;
+  bool probe_open = false;
   base::Timer poll_timer;
   base::Timer lapse_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/tests/jobs/hosted_rules_test.cc
@@ -0,0 +1,428 @@
+// Rules of the processes on the users' platform, on the paused clock.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "support/hosted_fleet.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using jobs::JobEnd;
+using runs::RunEndKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kPath[] = "/a/";
+constexpr char kUrgentPath[] = "/u/";
+
+class HostedRulesTest : public ::testing::Test {
+ protected:
+  void SetUp() override { this->fleet.Publish("1 /a/:1 /u/:0"); }
+
+  void TearDown() override {
+    EXPECT_TRUE(this->fleet.endpoints.Violations().empty())
+        << this->fleet.endpoints.Violations().front();
+  }
+
+  // Two domains of two processes and four endpoints each.
+  void StartTwoDomains() {
+    for (const char* domain : {"north", "south"}) {
+      for (int i = 0; i < 4; ++i) {
+        this->fleet.AddEndpoint(std::string(domain) + "-e" + std::to_string(i),
+                                domain);
+      }
+    }
+    for (const char* domain : {"north", "south"}) {
+      for (int i = 0; i < 2; ++i) {
+        this->fleet.AddProcess(std::string(domain) + std::to_string(i), domain);
+      }
+    }
+    this->fleet.Run(seconds(2));
+  }
+
+  std::vector<std::string> EndpointIds() const {
+    std::vector<std::string> ids;
+    for (const char* domain : {"north", "south"}) {
+      for (int i = 0; i < 4; ++i) {
+        ids.push_back(std::string(domain) + "-e" + std::to_string(i));
+      }
+    }
+    return ids;
+  }
+
+  HostedFleet fleet;
+};
+
+TEST_F(HostedRulesTest, AJobCompletesWhenAllItsTasksAreDone) {
+  this->StartTwoDomains();
+  const auto answer = this->fleet.Submit("north0", kPath, 8, milliseconds(200));
+  this->fleet.Run(milliseconds(190));
+  EXPECT_FALSE(answer->has_value());
+  this->fleet.Run(milliseconds(60));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kComplete);
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 8U);
+}
+
+TEST_F(HostedRulesTest, EachEndpointHasOneHolder) {
+  this->StartTwoDomains();
+  for (const std::string& id : this->EndpointIds()) {
+    EXPECT_EQ(this->fleet.HoldersOf(id), 1) << id;
+  }
+}
+
+TEST_F(HostedRulesTest, AWideJobUsesTheEndpointsOfAllProcesses) {
+  this->StartTwoDomains();
+  // 8 endpoints with room for two tasks each.
+  const auto answer =
+      this->fleet.Submit("north0", kPath, 16, milliseconds(200));
+  this->fleet.Run(milliseconds(300));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kComplete);
+}
+
+TEST_F(HostedRulesTest, AJobWithoutRoomIsRefusedEarlyAndNeverRuns) {
+  this->StartTwoDomains();
+  for (int i = 0; i < 16; ++i) {
+    this->fleet.Submit("north0", kPath, 1, milliseconds(1200));
+  }
+  this->fleet.Run(milliseconds(20));
+  const std::uint64_t before = this->fleet.endpoints.Starts();
+  const auto answer = this->fleet.Submit("south0", kPath, 1, milliseconds(200));
+  // A quarter of the objective of 380 ms.
+  this->fleet.Run(milliseconds(95));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kRejected);
+  EXPECT_GE((*answer)->retry_after, seconds(1));
+  this->fleet.Run(seconds(5));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), before);
+}
+
+TEST_F(HostedRulesTest, AnUnknownRouteAndAMissingConfigurationAreToldApart) {
+  HostedFleet empty;
+  empty.AddProcess("north0", "north");
+  empty.Run(seconds(1));
+  const auto early = empty.Submit("north0", kPath, 1, milliseconds(50));
+  EXPECT_EQ((*early)->end, JobEnd::kNotReady);
+  this->StartTwoDomains();
+  const auto lost = this->fleet.Submit("north0", "/x/", 1, milliseconds(50));
+  EXPECT_EQ((*lost)->end, JobEnd::kNoRoute);
+}
+
+TEST_F(HostedRulesTest, ATaskThatFailsOftenFailsItsJob) {
+  this->StartTwoDomains();
+  const auto answer = this->fleet.Submit("north0", kPath, 2, milliseconds(50),
+                                         RunEndKind::kFailed);
+  this->fleet.Run(milliseconds(300));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kFailed);
+}
+
+TEST_F(HostedRulesTest, TheTasksOfACallerThatLeftAreStoppedAtOnce) {
+  this->StartTwoDomains();
+  jobs::JobRequest request;
+  request.id = "00000000000000aa";
+  request.host = "h";
+  request.path = "/a/00000000000000aa";
+  request.payload = "p";
+  request.task_count = 4;
+  request.resources = {6'800, 64, 0};
+  request.estimate = milliseconds(1200);
+  this->fleet.endpoints.SetTask("p", milliseconds(1200), RunEndKind::kDone);
+  auto& jobs = this->fleet.Process("north0").jobs;
+  const auto caller = jobs.Submit(request, [](const jobs::JobAnswer&) {});
+  this->fleet.Run(milliseconds(100));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 4U);
+  jobs.Abandon(request.id, caller);
+  this->fleet.Run(milliseconds(150));
+  EXPECT_EQ(this->fleet.endpoints.Ends(), 4U);
+}
+
+TEST_F(HostedRulesTest, ACopyOfAJobInTheWorksJoinsIt) {
+  this->StartTwoDomains();
+  jobs::JobRequest request;
+  request.id = "00000000000000ab";
+  request.host = "h";
+  request.path = "/a/00000000000000ab";
+  request.payload = "p";
+  request.task_count = 2;
+  request.estimate = milliseconds(100);
+  request.resources = {6'800, 64, 0};
+  this->fleet.endpoints.SetTask("p", milliseconds(100), RunEndKind::kDone);
+  int answers = 0;
+  auto& jobs = this->fleet.Process("north0").jobs;
+  const auto count = [&answers](const jobs::JobAnswer& answer) {
+    EXPECT_EQ(answer.end, JobEnd::kComplete);
+    ++answers;
+  };
+  jobs.Submit(request, count);
+  this->fleet.Run(milliseconds(50));
+  jobs.Submit(request, count);
+  this->fleet.Run(milliseconds(100));
+  // And once more after the answer.
+  jobs.Submit(request, count);
+  EXPECT_EQ(answers, 3);
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 2U);
+}
+
+TEST_F(HostedRulesTest, TheEndpointsOfADeadProcessAreTakenOverInTime) {
+  this->StartTwoDomains();
+  this->fleet.Submit("north0", kPath, 8, milliseconds(900));
+  this->fleet.Run(milliseconds(50));
+  this->fleet.Kill("north0");
+  // Lost after 0.8 s, gone after 1.5 s, then one beat and one claim.
+  this->fleet.Run(milliseconds(2'200));
+  for (const std::string& id : this->EndpointIds()) {
+    EXPECT_EQ(this->fleet.HoldersOf(id), 1) << id;
+  }
+}
+
+TEST_F(HostedRulesTest, AJobSentAgainElsewhereNeverRunsBesideItsOldTasks) {
+  this->StartTwoDomains();
+  jobs::JobRequest request;
+  request.id = "00000000000000ac";
+  request.host = "h";
+  request.path = "/a/00000000000000ac";
+  request.payload = "p";
+  request.task_count = 8;
+  request.estimate = milliseconds(1000);
+  request.resources = {6'800, 64, 0};
+  this->fleet.endpoints.SetTask("p", milliseconds(1000), RunEndKind::kDone);
+  this->fleet.Process("north0").jobs.Submit(request,
+                                            [](const jobs::JobAnswer&) {});
+  this->fleet.Run(milliseconds(100));
+  this->fleet.Kill("north0");
+  this->fleet.Run(milliseconds(1300));
+  this->fleet.Process("south1").jobs.Submit(request,
+                                            [](const jobs::JobAnswer&) {});
+  this->fleet.Run(seconds(3));
+}
+
+TEST_F(HostedRulesTest, AProcessCutOffFromItsPeersKeepsItsEndpoints) {
+  this->StartTwoDomains();
+  std::map<std::string, std::uint64_t> fences;
+  for (const auto& [id, session] :
+       this->fleet.Process("north0").pool.Sessions()) {
+    fences[id] = session->Fence();
+  }
+  // The domains do not hear each other, but all reach all endpoints and the
+  // store.
+  this->fleet.network.Cut("north", "south");
+  this->fleet.network.Cut("south", "north");
+  this->fleet.Run(seconds(10));
+  for (const std::string& id : this->EndpointIds()) {
+    EXPECT_EQ(this->fleet.HoldersOf(id), 1) << id;
+  }
+  for (const auto& [id, fence] : fences) {
+    const auto& sessions = this->fleet.Process("north0").pool.Sessions();
+    ASSERT_TRUE(sessions.contains(id));
+    EXPECT_EQ(sessions.at(id)->Fence(), fence) << id;
+  }
+}
+
+TEST_F(HostedRulesTest, ADomainThatReturnsFromACutIsNotFencedOff) {
+  this->StartTwoDomains();
+  for (const char* other : {"north"}) {
+    this->fleet.network.Cut(other, "south");
+    this->fleet.network.Cut("south", other);
+    this->fleet.endpoints.Cut(other, "south");
+    this->fleet.endpoints.Cut("south", other);
+    this->fleet.store.SetDown("south0", true);
+    this->fleet.store.SetDown("south1", true);
+  }
+  this->fleet.Run(seconds(6));
+  this->fleet.Submit("south0", kPath, 4, milliseconds(900));
+  this->fleet.Run(milliseconds(100));
+  std::map<std::string, std::uint64_t> fences;
+  for (const auto& [id, session] :
+       this->fleet.Process("south0").pool.Sessions()) {
+    fences[id] = session->Fence();
+  }
+  this->fleet.network.HealAll();
+  this->fleet.endpoints.HealAll();
+  this->fleet.store.SetDown("south0", false);
+  this->fleet.store.SetDown("south1", false);
+  this->fleet.Run(seconds(5));
+  for (const auto& [id, fence] : fences) {
+    const auto& sessions = this->fleet.Process("south0").pool.Sessions();
+    ASSERT_TRUE(sessions.contains(id)) << id;
+    EXPECT_EQ(sessions.at(id)->Fence(), fence) << id;
+  }
+}
+
+TEST_F(HostedRulesTest, APausedProcessLosesItsEndpointsWithoutHarm) {
+  this->StartTwoDomains();
+  this->fleet.Submit("north0", kPath, 8, milliseconds(900));
+  this->fleet.Run(milliseconds(100));
+  this->fleet.Process("north0").clock.Pause();
+  for (int i = 0; i < 20; ++i) {
+    this->fleet.Submit("north1", kPath, 4, milliseconds(300));
+    this->fleet.Run(milliseconds(200));
+  }
+  this->fleet.Process("north0").clock.Resume();
+  for (int i = 0; i < 20; ++i) {
+    this->fleet.Submit("north0", kPath, 4, milliseconds(300));
+    this->fleet.Run(milliseconds(200));
+  }
+  this->fleet.Run(seconds(5));
+  for (const std::string& id : this->EndpointIds()) {
+    EXPECT_EQ(this->fleet.HoldersOf(id), 1) << id;
+  }
+}
+
+TEST_F(HostedRulesTest, StartsThatAreCarriedOutLateDoNoHarm) {
+  this->StartTwoDomains();
+  LeasedEndpoints::Faults faults;
+  faults.late = 0.3;
+  this->fleet.endpoints.SetFaults(faults);
+  for (int i = 0; i < 60; ++i) {
+    this->fleet.Submit("north0", kPath, 3, milliseconds(100));
+    this->fleet.Submit("south1", kPath, 3, milliseconds(300));
+    this->fleet.Run(milliseconds(100));
+  }
+  this->fleet.endpoints.SetFaults({});
+  this->fleet.Run(seconds(15));
+  EXPECT_GT(this->fleet.endpoints.Starts(), 100U);
+}
+
+TEST_F(HostedRulesTest, ALostAnswerCostsATaskUnderATenthOfASecond) {
+  this->StartTwoDomains();
+  LeasedEndpoints::Faults faults;
+  faults.late = 1;
+  this->fleet.endpoints.SetFaults(faults);
+  const auto answer = this->fleet.Submit("north0", kPath, 2, milliseconds(100));
+  this->fleet.Run(milliseconds(10));
+  this->fleet.endpoints.SetFaults({});
+  this->fleet.Run(milliseconds(200));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kComplete);
+}
+
+TEST_F(HostedRulesTest, AConfigurationReachesAProcessThatTheStoreTurnsAway) {
+  this->StartTwoDomains();
+  this->fleet.store.SetDown("south1", true);
+  this->fleet.Run(milliseconds(300));
+  this->fleet.Publish("7 /b/:1");
+  this->fleet.Run(milliseconds(1'000));
+  EXPECT_EQ(this->fleet.Process("south1").catalog.Board().Version(), 7U);
+}
+
+TEST_F(HostedRulesTest, AConfigurationNeverGoesBack) {
+  this->StartTwoDomains();
+  this->fleet.Publish("7 /b/:1");
+  this->fleet.Run(milliseconds(500));
+  this->fleet.Publish("5 /c/:1");
+  this->fleet.Run(milliseconds(1'500));
+  for (const auto& process : this->fleet.processes) {
+    EXPECT_EQ(process->catalog.Board().Version(), 7U);
+  }
+}
+
+TEST_F(HostedRulesTest, ACompactedTopicIsReadAnew) {
+  this->StartTwoDomains();
+  this->fleet.Publish("2 /b/:1");
+  this->fleet.store.Compact(catalog::Topic::kConfiguration);
+  this->fleet.store.Compact(catalog::Topic::kEndpoints);
+  this->fleet.Run(milliseconds(1'500));
+  EXPECT_EQ(this->fleet.Process("north0").catalog.Board().Version(), 2U);
+  EXPECT_EQ(this->fleet.Process("north0").catalog.Board().endpoints.size(), 8U);
+}
+
+TEST_F(HostedRulesTest, ADrainingEndpointGetsNoNewTask) {
+  this->StartTwoDomains();
+  this->fleet.SetDraining("north-e0", true);
+  this->fleet.Run(milliseconds(1'900));
+  for (int i = 0; i < 10; ++i) {
+    this->fleet.Submit("north0", kPath, 4, milliseconds(100));
+    this->fleet.Run(milliseconds(50));
+    EXPECT_EQ(this->fleet.endpoints.RunningAt("north-e0"), 0U);
+  }
+}
+
+TEST_F(HostedRulesTest, ALeavingProcessHandsItsEndpointsOver) {
+  this->StartTwoDomains();
+  const auto answer = this->fleet.Submit("north0", kPath, 8, milliseconds(900));
+  this->fleet.Run(milliseconds(50));
+  this->fleet.Process("north0").cluster.Leave();
+  this->fleet.Run(milliseconds(1'800));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kComplete);
+  EXPECT_TRUE(this->fleet.Process("north0").pool.Sessions().empty());
+  for (const std::string& id : this->EndpointIds()) {
+    EXPECT_EQ(this->fleet.HoldersOf(id), 1) << id;
+  }
+}
+
+TEST_F(HostedRulesTest, AnEndpointThatRestartsIsClaimedAnew) {
+  this->StartTwoDomains();
+  this->fleet.Submit("north0", kPath, 16, milliseconds(900));
+  this->fleet.Run(milliseconds(100));
+  this->fleet.endpoints.Restart("north-e1");
+  this->fleet.Run(seconds(3));
+  EXPECT_EQ(this->fleet.HoldersOf("north-e1"), 1);
+}
+
+TEST_F(HostedRulesTest, ASilentEndpointGivesItsTasksToOthers) {
+  this->StartTwoDomains();
+  this->fleet.endpoints.SetSilent("north-e1", true);
+  this->fleet.Run(seconds(1));
+  int complete = 0;
+  for (int i = 0; i < 10; ++i) {
+    const auto answer =
+        this->fleet.Submit("north0", kPath, 3, milliseconds(100));
+    this->fleet.Run(milliseconds(400));
+    if (answer->has_value() && (*answer)->end == JobEnd::kComplete) ++complete;
+  }
+  EXPECT_GE(complete, 8);
+}
+
+TEST_F(HostedRulesTest, AnOverdueTaskRunsAnewAtAFasterEndpoint) {
+  this->fleet.AddEndpoint("slow", "north", 16'000, 3);
+  this->fleet.AddProcess("north0", "north");
+  this->fleet.Run(seconds(2));
+  for (int i = 0; i < 20; ++i) {
+    this->fleet.Submit("north0", kPath, 1, milliseconds(100));
+    this->fleet.Run(milliseconds(320));
+  }
+  this->fleet.AddEndpoint("fast", "north");
+  this->fleet.Run(seconds(2));
+  // The fast endpoint is taken when the job comes.
+  this->fleet.Submit("north0", kPath, 2, milliseconds(250));
+  this->fleet.Run(milliseconds(5));
+  EXPECT_EQ(this->fleet.endpoints.RunningAt("fast"), 2U);
+  const auto answer = this->fleet.Submit("north0", kPath, 1, milliseconds(600));
+  this->fleet.Run(milliseconds(5));
+  EXPECT_EQ(this->fleet.endpoints.RunningAt("slow"), 1U);
+  this->fleet.Run(milliseconds(1'450));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kComplete);
+}
+
+// Load pattern: a flood of long jobs of a less urgent route, then a steady
+// stream of short urgent ones.
+TEST_F(HostedRulesTest, UrgentJobsGetRoomInAFloodOfOthers) {
+  this->StartTwoDomains();
+  int urgent = 0;
+  int served = 0;
+  for (int i = 0; i < 200; ++i) {
+    this->fleet.Submit("north0", kPath, 2, milliseconds(200));
+    this->fleet.Submit("south0", kPath, 2, milliseconds(200));
+    if (i % 4 == 0) {
+      const auto answer =
+          this->fleet.Submit("north0", kUrgentPath, 1, milliseconds(100));
+      ++urgent;
+      this->fleet.Run(milliseconds(20));
+      if (!answer->has_value() || (*answer)->end == JobEnd::kComplete) {
+        ++served;
+      }
+    } else {
+      this->fleet.Run(milliseconds(20));
+    }
+  }
+  EXPECT_GE(served * 10, urgent * 9);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/jobs/retry_advisor_test.cc
@@ -0,0 +1,43 @@
+#include "jobs/retry_advisor.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <set>
+
+namespace hawthornwheel::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::TimePoint kStart{base::Duration{1'000'000}};
+
+TEST(RetryAdvisorTest, MoreRefusalsMeanALongerWait) {
+  RetryAdvisor calm;
+  RetryAdvisor flooded;
+  for (int i = 0; i < 100; ++i) calm.RecordServed(kStart);
+  calm.RecordRefused(kStart);
+  for (int i = 0; i < 20; ++i) flooded.RecordServed(kStart);
+  for (int i = 0; i < 100; ++i) flooded.RecordRefused(kStart);
+  EXPECT_LT(calm.Advise(kStart, "a") + seconds(2), flooded.Advise(kStart, "a"));
+}
+
+TEST(RetryAdvisorTest, TheWaitIsBoundedAndForgetsAFlood) {
+  RetryAdvisor advisor;
+  for (int i = 0; i < 10'000; ++i) advisor.RecordRefused(kStart);
+  EXPECT_LE(advisor.Advise(kStart, "a"), seconds(16));
+  EXPECT_LE(advisor.Advise(kStart + seconds(60), "a"), seconds(2));
+}
+
+TEST(RetryAdvisorTest, CallersAreSpread) {
+  RetryAdvisor advisor;
+  std::set<base::Duration> waits;
+  for (int i = 0; i < 100; ++i) {
+    waits.insert(advisor.Advise(kStart, std::to_string(i)));
+  }
+  EXPECT_GT(waits.size(), 50U);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::jobs
--- /dev/null
+++ b/tests/support/hosted_process.cc
@@ -0,0 +1,53 @@
+#include "support/hosted_process.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+wire::MemberAnnounce AnnounceOf(const std::string& name,
+                                const std::string& domain,
+                                const std::string& incarnation) {
+  wire::MemberAnnounce self;
+  self.set_incarnation(incarnation);
+  self.set_domain(domain);
+  self.set_peer_address(name);
+  self.set_weight(1);
+  return self;
+}
+
+}  // namespace
+
+HostedProcess::HostedProcess(base::Clock& shared, FakeNetwork& network,
+                             KeyedStore& store, LeasedEndpoints& endpoints,
+                             const std::string& name, const std::string& domain,
+                             const std::string& incarnation)
+    : name(name),
+      domain(domain),
+      clock(shared),
+      store(store, name, this->clock),
+      orders(endpoints, domain, this->clock),
+      transport(network, name, domain, this->clock),
+      catalog(this->store, this->decoder, this->clock),
+      cluster({this->clock, this->store, this->catalog, this->transport,
+               this->metrics},
+              AnnounceOf(name, domain, incarnation), {}),
+      pool({this->clock, this->orders, this->metrics, this->settings,
+            this->catalog, this->cluster}),
+      remote(this->clock, this->metrics, this->cluster, this->pool),
+      placer(this->cluster, this->pool, this->remote),
+      jobs(this->clock, this->metrics, this->catalog, this->placer) {
+  this->transport.SetReceiver([this](const wire::Envelope& envelope) {
+    if (!this->cluster.Receive(envelope)) this->remote.Receive(envelope);
+  });
+  this->catalog.SetListener([this] { this->pool.Reconcile(); });
+  this->cluster.SetMembersListener([this] {
+    this->remote.CheckMembers();
+    this->pool.Reconcile();
+  });
+  this->cluster.SetRoomListener([this] { this->jobs.Pump(); });
+  this->pool.SetListener([this] { this->jobs.Pump(); });
+  this->catalog.Start();
+  this->cluster.Start();
+  this->pool.Start();
+}
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/hosted_process.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "catalog/catalog_controller.h"
+#include "cluster/cluster_controller.h"
+#include "jobs/fleet_placer.h"
+#include "jobs/job_coordinator.h"
+#include "runs/endpoint_pool.h"
+#include "runs/remote_runs.h"
+#include "runs/run_settings.h"
+#include "support/fake_transport.h"
+#include "support/keyed_store_client.h"
+#include "support/leased_orders.h"
+#include "support/plain_decoder.h"
+#include "support/process_clock.h"
+
+namespace hawthornwheel::testing {
+
+/// One process on the users' platform, wired as in the program but for its
+/// sockets.
+class HostedProcess {
+ public:
+  HostedProcess(base::Clock& shared, FakeNetwork& network, KeyedStore& store,
+                LeasedEndpoints& endpoints, const std::string& name,
+                const std::string& domain, const std::string& incarnation);
+
+  std::string name;
+  std::string domain;
+  ProcessClock clock;
+  base::Metrics metrics;
+  runs::RunSettings settings;
+  KeyedStoreClient store;
+  LeasedOrders orders;
+  PlainDecoder decoder;
+  FakeTransport transport;
+  catalog::CatalogController catalog;
+  cluster::ClusterController cluster;
+  runs::EndpointPool pool;
+  runs::RemoteRuns remote;
+  jobs::FleetPlacer placer;
+  jobs::JobCoordinator jobs;
+};
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/keyed_store.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "catalog/metadata_store.h"
+
+namespace hawthornwheel::testing {
+
+/// Keyed topics of a test, shared by its processes.
+class KeyedStore {
+ public:
+  explicit KeyedStore(base::Clock& clock) : clock(clock) {}
+
+  /// Writes a record; an empty value deletes the key.
+  void Write(catalog::Topic topic, const std::string& key,
+             const std::string& value);
+
+  /// Drops all records that are not the newest of their key, so that reads
+  /// from old offsets fail.
+  void Compact(catalog::Topic topic);
+
+  /// Turns all calls of the process at `client` away, or takes them again;
+  /// the empty name stands for all processes.
+  void SetDown(const std::string& client, bool down);
+  bool IsDown(const std::string& client) const;
+
+  std::uint64_t Reads() const { return this->reads; }
+
+ private:
+  friend class KeyedStoreClient;
+
+  struct TopicState {
+    std::vector<catalog::StoreRecord> records;
+    std::map<std::string, catalog::StoreRecord> newest;
+    std::uint64_t first = 0;
+    std::uint64_t end = 0;
+  };
+
+  base::Clock& clock;
+  std::map<catalog::Topic, TopicState> topics;
+  std::set<std::string> down;
+  std::uint64_t reads = 0;
+};
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/leased_endpoints.cc
@@ -0,0 +1,327 @@
+#include "support/leased_endpoints.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace hawthornwheel::testing {
+namespace {
+
+using runs::OrderOutcome;
+using runs::OrderReply;
+using runs::PollReply;
+using runs::RunEndKind;
+using std::chrono::milliseconds;
+
+constexpr base::Duration kWay{500};
+constexpr base::Duration kStopTime = milliseconds(40);
+constexpr std::int64_t kLongestLeaseMs = 1'000;
+constexpr int kWholePercent = 100;
+
+}  // namespace
+
+LeasedEndpoints::LeasedEndpoints(base::Clock& clock, Random& random)
+    : clock(clock), random(random) {}
+
+void LeasedEndpoints::Add(const catalog::EndpointEntry& entry, double pace) {
+  Endpoint& endpoint = this->endpoints[entry.id];
+  endpoint.entry = entry;
+  endpoint.pace = pace;
+  endpoint.born = this->clock.Now();
+}
+
+void LeasedEndpoints::Restart(const std::string& id) {
+  Endpoint& endpoint = this->endpoints[id];
+  for (auto& [key, run] : endpoint.runs) this->clock.CancelTimer(run.timer);
+  endpoint.runs.clear();
+  endpoint.highest_ended.clear();
+  endpoint.ended.clear();
+  endpoint.next_end = 1;
+  endpoint.fence = 0;
+  endpoint.lease_ms = 0;
+  endpoint.born = this->clock.Now();
+  endpoint.waiters.clear();
+  ++endpoint.life;
+}
+
+void LeasedEndpoints::SetSilent(const std::string& id, bool silent) {
+  this->endpoints[id].silent = silent;
+}
+
+void LeasedEndpoints::Cut(const std::string& process_domain,
+                          const std::string& domain) {
+  this->cuts.insert({process_domain, domain});
+}
+
+void LeasedEndpoints::SetTask(const std::string& payload, base::Duration time,
+                              RunEndKind kind) {
+  this->plans[payload] = {time, kind};
+}
+
+std::size_t LeasedEndpoints::RunningAt(const std::string& id) const {
+  return this->endpoints.at(id).runs.size();
+}
+
+bool LeasedEndpoints::IsReachable(const std::string& process_domain,
+                                  const Endpoint& endpoint) const {
+  return !endpoint.silent &&
+         !this->cuts.contains({process_domain, endpoint.entry.domain});
+}
+
+std::int64_t LeasedEndpoints::ClockOf(const Endpoint& endpoint) const {
+  return (this->clock.Now() - endpoint.born) / milliseconds(1) + 1;
+}
+
+OrderReply LeasedEndpoints::ReplyOf(const Endpoint& endpoint,
+                                    OrderOutcome outcome) const {
+  OrderReply reply;
+  reply.outcome = outcome;
+  reply.clock_ms = this->ClockOf(endpoint);
+  reply.born_ms = static_cast<std::int64_t>(endpoint.life);
+  return reply;
+}
+
+OrderOutcome LeasedEndpoints::Admit(Endpoint& endpoint,
+                                    const runs::OrderTarget& target) {
+  if (target.instance != endpoint.entry.id) {
+    return OrderOutcome::kWrongInstance;
+  }
+  if (target.fence < endpoint.fence) return OrderOutcome::kFenced;
+  endpoint.fence = target.fence;
+  return OrderOutcome::kAccepted;
+}
+
+void LeasedEndpoints::Send(const std::string& process_domain,
+                           const runs::OrderTarget& target,
+                           ProcessClock& process,
+                           std::function<void(Endpoint&)> carry_out,
+                           std::function<void()> give_up) {
+  const std::string id = target.instance;
+  const auto settled = std::make_shared<bool>(false);
+  const auto lose = [settled, give_up] {
+    if (std::exchange(*settled, true)) return;
+    give_up();
+  };
+  const bool late = this->random.Chance(this->faults.late);
+  const base::Duration way =
+      late ? this->random.Between(this->faults.least_delay,
+                                  this->faults.most_delay)
+           : kWay;
+  this->clock.StartTimer(target.timeout, process.Guard(lose));
+  this->clock.StartTimer(way, [this, id, process_domain, carry_out] {
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end()) return;
+    if (!this->IsReachable(process_domain, found->second)) return;
+    carry_out(found->second);
+  });
+}
+
+void LeasedEndpoints::Start(const std::string& process_domain,
+                            const runs::StartOrder& order,
+                            ProcessClock& process,
+                            std::function<void(const OrderReply&)> done) {
+  const auto once = std::make_shared<bool>(false);
+  const auto answer = [once, done](const OrderReply& reply) {
+    if (!std::exchange(*once, true)) done(reply);
+  };
+  const auto run_in_process = process.GetRunner();
+  this->Send(
+      process_domain, order.target, process,
+      [this, order, answer, run_in_process](Endpoint& endpoint) {
+        const OrderReply reply = this->CarryOutStart(endpoint, order);
+        if (this->random.Chance(this->faults.answer_lost)) return;
+        this->clock.StartTimer(kWay, [answer, reply, run_in_process] {
+          run_in_process([answer, reply] { answer(reply); });
+        });
+      },
+      [answer] { answer(OrderReply{}); });
+}
+
+OrderReply LeasedEndpoints::CarryOutStart(Endpoint& endpoint,
+                                          const runs::StartOrder& order) {
+  const OrderOutcome admitted = this->Admit(endpoint, order.target);
+  if (admitted != OrderOutcome::kAccepted) {
+    return this->ReplyOf(endpoint, admitted);
+  }
+  if (order.lease_until_ms <= this->ClockOf(endpoint)) {
+    return this->ReplyOf(endpoint, OrderOutcome::kExpired);
+  }
+  this->RenewLease(endpoint, order.lease_until_ms);
+  const RunKey key{order.task, order.run};
+  if (endpoint.runs.contains(key)) {
+    return this->ReplyOf(endpoint, OrderOutcome::kAccepted);
+  }
+  const auto ended = endpoint.highest_ended.find(order.task);
+  if (ended != endpoint.highest_ended.end() && order.run <= ended->second) {
+    return this->ReplyOf(endpoint, OrderOutcome::kStaleRun);
+  }
+  const TaskPlan plan = this->plans[order.payload];
+  Run& run = endpoint.runs[key];
+  run.payload = order.payload;
+  run.started = this->clock.Now();
+  run.end = plan.kind;
+  run.time = base::Duration(static_cast<base::Duration::rep>(
+      static_cast<double>(plan.time.count()) * endpoint.pace));
+  ++this->starts;
+  ++this->starts_of[order.payload];
+  this->CheckStart(endpoint, key);
+  run.timer = this->clock.StartTimer(
+      run.time, [this, id = endpoint.entry.id, key, kind = plan.kind] {
+        this->End(this->endpoints[id], key, kind);
+      });
+  return this->ReplyOf(endpoint, OrderOutcome::kAccepted);
+}
+
+void LeasedEndpoints::CheckStart(const Endpoint& endpoint, const RunKey& key) {
+  std::int64_t used = 0;
+  for (const auto& [other, run] : endpoint.runs) used += this->cpu[run.payload];
+  if (used > endpoint.entry.capacity.cpu_milli) {
+    this->violations.push_back(fmt::format("{} is over its capacity with {}",
+                                           endpoint.entry.id, key.first));
+  }
+  for (const auto& [id, other] : this->endpoints) {
+    for (const auto& [other_key, run] : other.runs) {
+      if (other_key.first != key.first) continue;
+      if (id == endpoint.entry.id && other_key == key) continue;
+      this->violations.push_back(fmt::format("{} runs twice: at {} and {}",
+                                             key.first, id, endpoint.entry.id));
+    }
+  }
+}
+
+void LeasedEndpoints::Stop(const std::string& process_domain,
+                           const runs::OrderTarget& target,
+                           const std::string& task, std::uint64_t run,
+                           ProcessClock& process,
+                           std::function<void(const OrderReply&)> done) {
+  const auto once = std::make_shared<bool>(false);
+  const auto answer = [once, done](const OrderReply& reply) {
+    if (!std::exchange(*once, true)) done(reply);
+  };
+  const auto run_in_process = process.GetRunner();
+  this->Send(
+      process_domain, target, process,
+      [this, target, task, run, answer, run_in_process](Endpoint& endpoint) {
+        const OrderOutcome admitted = this->Admit(endpoint, target);
+        const OrderReply reply = this->ReplyOf(endpoint, admitted);
+        if (admitted == OrderOutcome::kAccepted) {
+          std::uint64_t& highest = endpoint.highest_ended[task];
+          highest = std::max(highest, run);
+          const auto found = endpoint.runs.find({task, run});
+          if (found != endpoint.runs.end() && !found->second.stopping) {
+            found->second.stopping = true;
+            this->clock.CancelTimer(found->second.timer);
+            found->second.timer = this->clock.StartTimer(
+                kStopTime,
+                [this, id = endpoint.entry.id, key = RunKey{task, run}] {
+                  this->End(this->endpoints[id], key, RunEndKind::kStopped);
+                });
+          }
+        }
+        if (this->random.Chance(this->faults.answer_lost)) return;
+        this->clock.StartTimer(kWay, [answer, reply, run_in_process] {
+          run_in_process([answer, reply] { answer(reply); });
+        });
+      },
+      [answer] { answer(OrderReply{}); });
+}
+
+void LeasedEndpoints::Poll(const std::string& process_domain,
+                           const runs::PollOrder& order, ProcessClock& process,
+                           std::function<void(const PollReply&)> done) {
+  const auto once = std::make_shared<bool>(false);
+  const auto answer = [once, done](const PollReply& reply) {
+    if (!std::exchange(*once, true)) done(reply);
+  };
+  const auto run_in_process = process.GetRunner();
+  const auto read = [this, order, answer,
+                     run_in_process](const std::string& id) {
+    Endpoint& endpoint = this->endpoints[id];
+    PollReply reply;
+    reply.order = this->ReplyOf(endpoint, OrderOutcome::kAccepted);
+    for (const auto& [key, run] : endpoint.runs) {
+      const auto age = this->clock.Now() - run.started;
+      const int percent = run.time.count() == 0
+                              ? kWholePercent
+                              : static_cast<int>(age.count() * kWholePercent /
+                                                 run.time.count());
+      reply.running.push_back({key.first, key.second, percent});
+    }
+    reply.ended = endpoint.ended;
+    if (this->random.Chance(this->faults.answer_lost)) return;
+    this->clock.StartTimer(kWay, [answer, reply, run_in_process] {
+      run_in_process([answer, reply] { answer(reply); });
+    });
+  };
+  this->Send(
+      process_domain, order.target, process,
+      [this, order, answer, read, run_in_process](Endpoint& endpoint) {
+        const OrderOutcome admitted = this->Admit(endpoint, order.target);
+        if (admitted != OrderOutcome::kAccepted) {
+          PollReply reply;
+          reply.order = this->ReplyOf(endpoint, admitted);
+          this->clock.StartTimer(kWay, [answer, reply, run_in_process] {
+            run_in_process([answer, reply] { answer(reply); });
+          });
+          return;
+        }
+        std::erase_if(endpoint.ended, [&order](const runs::EndedRow& row) {
+          return row.number <= order.acked_end;
+        });
+        if (order.lease_until_ms != 0) {
+          this->RenewLease(endpoint, order.lease_until_ms);
+        }
+        const std::string id = endpoint.entry.id;
+        if (order.wait <= base::Duration{0} || !endpoint.ended.empty()) {
+          read(id);
+          return;
+        }
+        const std::uint64_t waiter = this->next_waiter++;
+        endpoint.waiters.push_back({waiter, [read, id] { read(id); }});
+        this->clock.StartTimer(order.wait, [this, id, waiter] {
+          auto& waiters = this->endpoints[id].waiters;
+          const auto found = std::find_if(
+              waiters.begin(), waiters.end(),
+              [waiter](const Waiter& item) { return item.id == waiter; });
+          if (found == waiters.end()) return;
+          const auto wake = found->answer;
+          waiters.erase(found);
+          wake();
+        });
+      },
+      [answer] { answer(PollReply{}); });
+}
+
+void LeasedEndpoints::End(Endpoint& endpoint, const RunKey& key,
+                          RunEndKind kind) {
+  const auto found = endpoint.runs.find(key);
+  if (found == endpoint.runs.end()) return;
+  this->clock.CancelTimer(found->second.timer);
+  endpoint.runs.erase(found);
+  std::uint64_t& highest = endpoint.highest_ended[key.first];
+  highest = std::max(highest, key.second);
+  endpoint.ended.push_back({endpoint.next_end++, key.first, key.second, kind});
+  ++this->ends;
+  const auto waiters = std::move(endpoint.waiters);
+  endpoint.waiters.clear();
+  for (const Waiter& waiter : waiters) waiter.answer();
+}
+
+void LeasedEndpoints::RenewLease(Endpoint& endpoint, std::int64_t until_ms) {
+  const std::int64_t now = this->ClockOf(endpoint);
+  endpoint.lease_ms =
+      std::max(endpoint.lease_ms, std::min(until_ms, now + kLongestLeaseMs));
+  this->clock.CancelTimer(endpoint.lease_timer);
+  endpoint.lease_timer = this->clock.StartTimer(
+      milliseconds(endpoint.lease_ms - now), [this, id = endpoint.entry.id] {
+        Endpoint& lapsed = this->endpoints[id];
+        while (!lapsed.runs.empty()) {
+          this->End(lapsed, lapsed.runs.begin()->first, RunEndKind::kLapsed);
+        }
+      });
+}
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/plain_decoder.cc
@@ -0,0 +1,54 @@
+#include "support/plain_decoder.h"
+
+#include <chrono>
+#include <sstream>
+
+namespace hawthornwheel::testing {
+
+using base::Error;
+using base::ErrorKind;
+using std::chrono::milliseconds;
+
+base::Result<catalog::Configuration> PlainDecoder::DecodeConfiguration(
+    const std::string& bytes) const {
+  std::istringstream words(bytes);
+  catalog::Configuration configuration;
+  if (!(words >> configuration.version)) {
+    return Error(ErrorKind::kInvalidConfig, "no version");
+  }
+  std::string word;
+  while (words >> word) {
+    catalog::Route route;
+    const auto colon = word.find(':');
+    route.prefix = word.substr(0, colon);
+    route.name = route.prefix;
+    route.priority = std::stoi(word.substr(colon + 1));
+    route.host = "h";
+    route.service = "s";
+    route.timeout = milliseconds(1500);
+    route.objective_slack = milliseconds(60);
+    route.objective_stretch = 1.6;
+    route.most_attempts = 2;
+    configuration.routes.push_back(route);
+  }
+  return configuration;
+}
+
+base::Result<catalog::EndpointEntry> PlainDecoder::DecodeEndpoint(
+    const std::string& id, const std::string& bytes) const {
+  std::istringstream words(bytes);
+  catalog::EndpointEntry entry;
+  entry.id = id;
+  entry.service = "s";
+  entry.address = id;
+  std::string state;
+  if (!(words >> entry.domain >> entry.capacity.cpu_milli)) {
+    return Error(ErrorKind::kInvalidConfig, "no domain or capacity");
+  }
+  entry.capacity.memory_mb = 32'768;
+  words >> state;
+  entry.draining = state == "draining";
+  return entry;
+}
+
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/support/plain_decoder.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+#include "catalog/record_decoder.h"
+
+namespace hawthornwheel::testing {
+
+/// Decodes records of tests. A configuration is `VERSION` or
+/// `VERSION ROUTE...`, where a route is `PREFIX:PRIORITY`; all routes lead from
+/// host "h" to service "s". An endpoint is `DOMAIN CPU_MILLI` with an optional
+/// `draining` behind.
+class PlainDecoder final : public catalog::RecordDecoder {
+ public:
+  base::Result<catalog::Configuration> DecodeConfiguration(
+      const std::string& bytes) const override;
+  base::Result<catalog::EndpointEntry> DecodeEndpoint(
+      const std::string& id, const std::string& bytes) const override;
+};
+
+}  // namespace hawthornwheel::testing
