Claims across domains wait for the heartbeats of the other side

Ruled out: fencing by old orders that the cut had held up. Change: an endpoint of another domain is claimed 1.5 s after it answered a probe without a token; ZeroMQ closes silent connections and connects again within 0.2 s. Test: ADomainThatReturnsFromACutIsNotFencedOff, extended, failed first.

--- a/src/libs/peers/zmq_transport.cc
+++ b/src/libs/peers/zmq_transport.cc
@@ -19,7 +19,11 @@
 constexpr int kQueueMessages = 10'000;
 constexpr int kLingerMs = 200;
 constexpr int kReconnectMs = 50;
-constexpr int kLongestReconnectMs = 2'000;
+constexpr int kLongestReconnectMs = 200;
+// A connection that went silent is closed and made anew within this time.
+constexpr int kHeartbeatMs = 500;
+constexpr int kHeartbeatTimeoutMs = 1'000;
+constexpr int kConnectTimeoutMs = 500;
 constexpr std::int64_t kLargestMessageBytes = 64 << 20;
 // Messages taken in one turn of the loop, so that other sources get theirs.
 constexpr int kMessagesPerTurn = 256;
@@ -128,6 +132,11 @@
     zmq_setsockopt(socket, ZMQ_RECONNECT_IVL, &kReconnectMs, sizeof(int));
     zmq_setsockopt(socket, ZMQ_RECONNECT_IVL_MAX, &kLongestReconnectMs,
                    sizeof(int));
+    zmq_setsockopt(socket, ZMQ_HEARTBEAT_IVL, &kHeartbeatMs, sizeof(int));
+    zmq_setsockopt(socket, ZMQ_HEARTBEAT_TIMEOUT, &kHeartbeatTimeoutMs,
+                   sizeof(int));
+    zmq_setsockopt(socket, ZMQ_CONNECT_TIMEOUT, &kConnectTimeoutMs,
+                   sizeof(int));
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &kLargestMessageBytes,
                    sizeof(std::int64_t));
   }
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -84,6 +84,9 @@
         this->parts.settings, this->tokens};
     this->sessions[id] = std::make_unique<EndpointSession>(
         session_parts, endpoint.entry, this->fences_seen[id],
+        endpoint.entry.domain == board.self.domain()
+            ? EndpointSession::ClaimMode::kAtOnce
+            : EndpointSession::ClaimMode::kAfterProbe,
         [this] { this->OnSessionChange(); });
     kLog.Info("Endpoint is claimed. endpoint={} domain={} fence={}", id,
               endpoint.entry.domain, this->sessions[id]->Fence());
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -23,7 +23,7 @@
 constexpr base::Duration kFirstProbe = milliseconds(250);
 constexpr base::Duration kLongestProbe = milliseconds(2'000);
 // Time in which the heartbeats of a holder arrive once a partition is over.
-constexpr base::Duration kClaimDelay = milliseconds(500);
+constexpr base::Duration kClaimDelay = milliseconds(1'500);
 // A stop without an answer is sent again.
 constexpr base::Duration kStopRetry = milliseconds(150);
 // The token in force may come from a clock that is ahead; each refusal of a
@@ -76,7 +76,7 @@
 
 EndpointSession::EndpointSession(const Parts& parts,
                                  catalog::EndpointEntry entry,
-                                 std::uint64_t fence_floor,
+                                 std::uint64_t fence_floor, ClaimMode mode,
                                  std::function<void()> on_change)
     : parts(parts),
       entry(std::move(entry)),
@@ -86,6 +86,12 @@
       lapse(parts.clock.Now()),
       poll_timer(parts.clock),
       lapse_timer(parts.clock) {
+  if (mode == ClaimMode::kAfterProbe) {
+    this->state = SessionState::kUnreachable;
+    this->failures = kMostPollFailures;
+    this->Probe();
+    return;
+  }
   this->Poll(base::Duration{0}, false);
 }
 
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -45,10 +45,15 @@
     const FencingToken& tokens;
   };
 
+  /// How an endpoint is claimed: at once, or, where a holder may be alive
+  /// behind a partition, some time after it has answered a probe.
+  enum class ClaimMode { kAtOnce, kAfterProbe };
+
   /// Claims the endpoint with a token above `fence_floor`. `on_change` is
   /// called when room or state has changed. `parts` must outlive the session.
   EndpointSession(const Parts& parts, catalog::EndpointEntry entry,
-                  std::uint64_t fence_floor, std::function<void()> on_change);
+                  std::uint64_t fence_floor, ClaimMode mode,
+                  std::function<void()> on_change);
   ~EndpointSession();
 
   const catalog::EndpointEntry& Entry() const { return this->entry; }
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -232,7 +232,11 @@
     this->fleet.store.SetDown("south0", true);
     this->fleet.store.SetDown("south1", true);
   }
-  this->fleet.Run(seconds(6));
+  this->fleet.Run(seconds(3));
+  for (const char* id : {"south-e0", "south-e1", "south-e2", "south-e3"}) {
+    this->fleet.DropEntry(id);
+  }
+  this->fleet.Run(seconds(3));
   this->fleet.Submit("south0", kPath, 4, milliseconds(900));
   this->fleet.Run(milliseconds(100));
   std::map<std::string, std::uint64_t> fences;
@@ -240,10 +244,15 @@
        this->fleet.Process("south0").pool.Sessions()) {
     fences[id] = session->Fence();
   }
-  this->fleet.network.HealAll();
   this->fleet.endpoints.HealAll();
   this->fleet.store.SetDown("south0", false);
   this->fleet.store.SetDown("south1", false);
+  for (const char* id : {"south-e0", "south-e1", "south-e2", "south-e3"}) {
+    this->fleet.SetDraining(id, false);
+  }
+  // Connections between processes take longer to come back.
+  this->fleet.Run(milliseconds(900));
+  this->fleet.network.HealAll();
   this->fleet.Run(seconds(5));
   for (const auto& [id, fence] : fences) {
     const auto& sessions = this->fleet.Process("south0").pool.Sessions();
--- a/tests/support/hosted_fleet.cc
+++ b/tests/support/hosted_fleet.cc
@@ -38,6 +38,10 @@
                     this->entries[id] + (draining ? " draining" : ""));
 }
 
+void HostedFleet::DropEntry(const std::string& id) {
+  this->store.Write(catalog::Topic::kEndpoints, id, "");
+}
+
 void HostedFleet::Publish(const std::string& configuration) {
   this->store.Write(catalog::Topic::kConfiguration, "config", configuration);
 }
--- a/tests/support/hosted_fleet.h
+++ b/tests/support/hosted_fleet.h
@@ -23,6 +23,9 @@
   /// Writes the endpoint's entry anew, draining or not.
   void SetDraining(const std::string& id, bool draining);
 
+  /// Deletes the endpoint's entry, as the store does when it lapses.
+  void DropEntry(const std::string& id);
+
   /// Publishes version `version` with the given routes; see PlainDecoder.
   void Publish(const std::string& configuration);
 
