Structured, bounded logs to standard output; metrics address

Logs are logfmt lines; a token bucket and a non-blocking descriptor bound them, and the count of lines left out is told.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 [admin]
 address = 127.0.0.1:0
 INI
-  "$bin/hawthornwheeld/hawthornwheeld" --settings="$work/$1.ini" 2>"$work/$1.log" &
+  "$bin/hawthornwheeld/hawthornwheeld" --settings="$work/$1.ini" >"$work/$1.log" 2>&1 &
   pids+=($!)
   printf -v "${1/-/_}_pid" %s "$!"
 }
--- a/src/hawthornwheeld/main.cc
+++ b/src/hawthornwheeld/main.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <glib-unix.h>
 #include <glib.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <fstream>
@@ -14,7 +15,9 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "absl/flags/usage_config.h"
+#include "base/glib_clock.h"
 #include "base/ini_file.h"
+#include "base/log_sink.h"
 #include "base/logger.h"
 #include "base/settings_reader.h"
 #include "base/version.h"
@@ -58,6 +61,9 @@
 template <typename AnyNode, typename Settings>
 int Run(Settings settings) {
   base::SetLogLevel(base::ParseLogLevel(settings.log_level));
+  const base::GlibClock log_clock;
+  base::LogSink sink(log_clock, STDOUT_FILENO, {});
+  base::SetLogSink(&sink);
   GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
   AnyNode node(std::move(settings), [loop] { g_main_loop_quit(loop); });
   const auto started = node.Start();
@@ -71,6 +77,7 @@
   g_unix_signal_add(SIGHUP, OnReloadSignal, nullptr);
   g_main_loop_run(loop);
   g_main_loop_unref(loop);
+  base::SetLogSink(nullptr);
   return kExitOk;
 }
 
--- /dev/null
+++ b/src/libs/base/log_sink.cc
@@ -0,0 +1,87 @@
+#include "base/log_sink.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace hawthornwheel::base {
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+// What a slow reader may leave unread in this process before lines are
+// dropped.
+constexpr std::size_t kMostPendingBytes = 256 << 10;
+
+}  // namespace
+
+class LogSink::Private {
+ public:
+  Private(const Clock& clock, int descriptor, Limits limits)
+      : clock(clock),
+        descriptor(descriptor),
+        limits(limits),
+        tokens(limits.burst),
+        refilled(clock.Now()) {}
+
+  bool TakeToken() {
+    const TimePoint now = this->clock.Now();
+    const auto passed = static_cast<double>((now - this->refilled).count());
+    this->refilled = now;
+    this->tokens = std::min(this->limits.burst,
+                            this->tokens + passed / kMicrosecondsPerSecond *
+                                               this->limits.lines_per_second);
+    if (this->tokens < 1) return false;
+    this->tokens -= 1;
+    return true;
+  }
+
+  void Flush() {
+    while (!this->pending.empty()) {
+      const ssize_t written =
+          write(this->descriptor, this->pending.data(), this->pending.size());
+      if (written <= 0) return;
+      this->pending.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+  const Clock& clock;
+  int descriptor;
+  Limits limits;
+  double tokens;
+  TimePoint refilled;
+  std::string pending;
+  std::uint64_t dropped = 0;
+  std::uint64_t told = 0;
+};
+
+LogSink::LogSink(const Clock& clock, int descriptor, Limits limits)
+    : d(std::make_unique<Private>(clock, descriptor, limits)) {
+  const int flags = fcntl(descriptor, F_GETFL, 0);
+  if (flags >= 0) fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+LogSink::~LogSink() { this->d->Flush(); }
+
+void LogSink::Write(const std::string& line, bool matters) {
+  const bool full = this->d->pending.size() + line.size() > kMostPendingBytes;
+  if (full || (!this->d->TakeToken() && !matters)) {
+    ++this->d->dropped;
+    this->d->Flush();
+    return;
+  }
+  if (this->d->dropped != this->d->told) {
+    this->d->pending += fmt::format(
+        "level=warning part=log msg=\"Lines were left out.\" lines={}\n",
+        this->d->dropped - this->d->told);
+    this->d->told = this->d->dropped;
+  }
+  this->d->pending += line;
+  this->d->pending += '\n';
+  this->d->Flush();
+}
+
+std::uint64_t LogSink::Dropped() const { return this->d->dropped; }
+
+}  // namespace hawthornwheel::base
--- a/src/libs/base/logger.h
+++ b/src/libs/base/logger.h
@@ -7,6 +7,8 @@
 
 namespace hawthornwheel::base {
 
+class LogSink;
+
 /// How grave a log line is.
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
@@ -17,8 +19,18 @@
 /// any other name.
 LogLevel ParseLogLevel(std::string_view name);
 
-/// Writes short sentences to standard error, each with the fixed prefix of its
-/// part of the program. Fields may follow as ` key=value`.
+/// Line of a message: `level=info part=job msg="Sentence." key=value ...`. The
+/// sentence is what stands before the first field.
+std::string FormatLogLine(LogLevel level, std::string_view part,
+                          std::string_view message);
+
+/// Sends all lines to `sink` from now on; null brings back plain writes to
+/// standard output, as short programs want them. `sink` must outlive its use.
+void SetLogSink(LogSink* sink);
+
+/// Writes short sentences, each with the fixed prefix of its part of the
+/// program. Fields may follow as ` key=value`; a value with spaces stands in
+/// quotes.
 class Logger {
  public:
   /// `prefix` must outlive the logger; it is a literal in practice.
--- a/src/libs/catalog/catalog_controller.cc
+++ b/src/libs/catalog/catalog_controller.cc
@@ -70,7 +70,7 @@
                                           const std::string& source) {
   auto decoded = this->decoder.DecodeConfiguration(bytes);
   if (!decoded) {
-    kLog.Error("Configuration cannot be read. source={} cause={}", source,
+    kLog.Error("Configuration cannot be read. source={} cause=\"{}\"", source,
                decoded.GetError().detail);
     return;
   }
@@ -125,8 +125,9 @@
   }
   auto entry = this->decoder.DecodeEndpoint(record.key, record.value);
   if (!entry) {
-    kLog.Warning("Endpoint entry is skipped. endpoint={} offset={} cause={}",
-                 record.key, record.offset, entry.GetError().detail);
+    kLog.Warning(
+        "Endpoint entry is skipped. endpoint={} offset={} cause=\"{}\"",
+        record.key, record.offset, entry.GetError().detail);
     return;
   }
   Catalog::Endpoint& endpoint = this->catalog.endpoints[record.key];
--- a/src/libs/catalog/topic_follower.cc
+++ b/src/libs/catalog/topic_follower.cc
@@ -130,7 +130,7 @@
     kLog.Info("Store answers. topic={} next_offset={}", this->settings.name,
               this->next_offset);
   } else {
-    kLog.Warning("Store is lost. topic={} next_offset={} cause={}",
+    kLog.Warning("Store is lost. topic={} next_offset={} cause=\"{}\"",
                  this->settings.name, this->next_offset, cause);
   }
 }
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -124,7 +124,7 @@
       this->board.self.SerializeAsString(),
       [this](const base::Result<bool>& done) {
         if (done) return;
-        kLog.Warning("Announcement failed; trying again. cause={}",
+        kLog.Warning("Announcement failed; trying again. cause=\"{}\"",
                      done.GetError().detail);
         this->announce_timer.StartOnce(kAnnounceRetry,
                                        [this] { this->Announce(); });
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -370,7 +370,7 @@
   this->metrics.Count(std::string("jobs.") + NameOf(end));
   if (end != JobEnd::kComplete) {
     kLog.Info(
-        "Job ended. job={} route={} version={} end={} cause={} age_ms={} "
+        "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} "
         "tasks={} done={} waiting={} retry_after_ms={}",
         id, job->route.name, job->config_version, NameOf(end), cause,
         (now - job->arrival) / milliseconds(1), job->request.task_count,
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "admin/metrics_front.h"
 #include "base/glib_clock.h"
 #include "base/logger.h"
 #include "base/metrics.h"
@@ -135,6 +136,7 @@
   jobs::FleetPlacer placer;
   jobs::JobCoordinator jobs;
   platform::JobFront front;
+  std::unique_ptr<admin::MetricsFront> metrics_front;
   base::Timer drain_timer;
   base::TimePoint drain_start;
 };
@@ -153,6 +155,13 @@
   const auto listening = this->d->front.Listen(this->d->settings.caller_address,
                                                this->d->settings.ready_address);
   if (!listening) return listening.GetError();
+  if (!this->d->settings.metrics_address.empty()) {
+    this->d->metrics_front = std::make_unique<admin::MetricsFront>(
+        this->d->metrics, [this] { return this->Dump(); });
+    const auto metrics =
+        this->d->metrics_front->Listen(this->d->settings.metrics_address);
+    if (!metrics) return metrics.GetError();
+  }
   this->d->catalog.Start();
   this->d->cluster.Start();
   this->d->pool.Start();
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -163,7 +163,7 @@
   if (reply.outcome != OrderOutcome::kAccepted) {
     kLog.Info(
         "Start was not taken. endpoint={} task={} run={} fence={} outcome={} "
-        "cause={}",
+        "cause=\"{}\"",
         this->entry.id, key.first, key.second, order_fence,
         runs::NameOf(reply.outcome), reply.cause);
   }
@@ -576,8 +576,8 @@
 
 void EndpointSession::LoseAll(const char* cause) {
   if (this->runs.empty()) return;
-  kLog.Warning("Runs are lost. endpoint={} runs={} cause={}", this->entry.id,
-               this->runs.size(), cause);
+  kLog.Warning("Runs are lost. endpoint={} runs={} cause=\"{}\"",
+               this->entry.id, this->runs.size(), cause);
   std::vector<RunKey> keys;
   for (const auto& [key, run] : this->runs) keys.push_back(key);
   for (const RunKey& key : keys) this->End(key, RunOutcome::kLost);
@@ -586,9 +586,10 @@
 
 void EndpointSession::SetState(SessionState new_state, const char* cause) {
   if (this->state == new_state) return;
-  kLog.Info("Session state. endpoint={} state={} before={} fence={} cause={}",
-            this->entry.id, NameOf(new_state), NameOf(this->state), this->fence,
-            cause);
+  kLog.Info(
+      "Session state. endpoint={} state={} before={} fence={} cause=\"{}\"",
+      this->entry.id, NameOf(new_state), NameOf(this->state), this->fence,
+      cause);
   this->state = new_state;
 }
 
--- a/tests/system/fleet.sh
+++ b/tests/system/fleet.sh
@@ -69,7 +69,7 @@
 address = 127.0.0.1:0
 INI
   "$build/src/hawthornwheeld/hawthornwheeld" --settings="$work/$1.ini" \
-    2>"$work/$1.log" &
+    >"$work/$1.log" 2>&1 &
   pids+=($!)
   printf -v "pid_${1//-/_}" %s "$!"
 }
