--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -37,6 +38,14 @@
   /// Others by peer address.
   std::map<std::string, Member> members;
 
+  /// Whether `member` hears this process, by its own word. A way that is cut
+  /// in one direction takes no placements.
+  bool IsHeardBy(const Member& member) const {
+    const auto& peers = member.last.peers();
+    return std::find(peers.begin(), peers.end(), this->self.peer_address()) !=
+           peers.end();
+  }
+
   /// Live member at `address`, or null.
   const Member* FindLive(const std::string& address) const {
     const auto found = this->members.find(address);
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -273,10 +273,8 @@
   beat.set_config_version(this->parts.catalog.Board().Version());
   beat.set_endpoints_offset(this->parts.catalog.Board().endpoints_offset);
   if (this->held_source) this->held_source(beat);
-  if (audience == Audience::kAll) {
-    for (const auto& [address, member] : this->board.members) {
-      if (member.live) beat.add_peers(address);
-    }
+  for (const auto& [address, member] : this->board.members) {
+    if (member.live) beat.add_peers(address);
   }
   for (const auto& [address, member] : this->board.members) {
     if (audience != Audience::kAll && !member.live) continue;
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -42,7 +42,7 @@
 void FleetPlacer::AddRemote(std::vector<Candidate>& candidates) const {
   const cluster::ClusterBoard& board = this->cluster.Board();
   for (const auto& [address, member] : board.members) {
-    if (!member.live) continue;
+    if (!member.live || !board.IsHeardBy(member)) continue;
     const bool same_domain = member.announce.domain() == board.self.domain();
     for (const wire::HeldEndpoint& held : member.last.held()) {
       if (!held.open() || held.free_cpu_milli() == 0) continue;
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -257,10 +257,7 @@
 
 void EndpointSession::Poll(base::Duration wait, bool raise_fence) {
   const base::TimePoint now = this->parts.clock.Now();
-  if (raise_fence) {
-    this->fence = this->parts.tokens.Next(this->parts.clock.WallMilliseconds(),
-                                          this->fence);
-  }
+  if (raise_fence) this->RaiseFence();
   PollOrder order;
   order.target = this->Target(wait + this->parts.settings.answer_time);
   order.acked_end = this->seen_end;
@@ -290,6 +287,20 @@
       });
 }
 
+void EndpointSession::RaiseFence() {
+  const auto raised = this->parts.tokens.Recheck(this->fence);
+  if (raised) {
+    this->fence = *raised;
+    return;
+  }
+  // A new claim; no task starts until it is known to be in force.
+  this->fence = this->parts.tokens.Next(this->parts.clock.WallMilliseconds(),
+                                        this->fence);
+  if (this->state == SessionState::kReady) {
+    this->SetState(SessionState::kClaiming, "rechecks of the claim ran out");
+  }
+}
+
 void EndpointSession::PollAgain() {
   if (this->open_polls > 0 || this->state == SessionState::kFencedOff) return;
   const bool unreachable = this->state == SessionState::kUnreachable;
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -109,6 +109,7 @@
   void Claim();
   void Poll(base::Duration wait, bool raise_fence);
   void PollAgain();
+  void RaiseFence();
   void Probe();
   void OnPollReply(const PollOrder& order, const PollReply& reply);
   void OnPollAccepted(const PollOrder& order, const PollReply& reply);
--- /dev/null
+++ b/tests/runs/endpoint_session_test.cc
@@ -0,0 +1,228 @@
+#include "runs/endpoint_session.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+
+#include "base/metrics.h"
+#include "support/manual_clock.h"
+#include "support/scripted_orders.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using runs::EndpointSession;
+using runs::OrderOutcome;
+using runs::RunOutcome;
+using runs::SessionState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class EndpointSessionTest : public ::testing::Test {
+ protected:
+  EndpointSessionTest() {
+    this->entry.id = "e";
+    this->entry.service = "s";
+    this->entry.domain = "north";
+    this->entry.address = "10.0.0.1:1";
+    this->entry.capacity = {16'000, 32'768, 0};
+    this->session = std::make_unique<EndpointSession>(
+        EndpointSession::Parts{this->clock, this->orders, this->metrics,
+                               this->settings, this->tokens},
+        this->entry, 0, EndpointSession::ClaimMode::kAtOnce, [] {});
+  }
+
+  runs::OrderReply Reply(OrderOutcome outcome) {
+    runs::OrderReply reply;
+    reply.outcome = outcome;
+    reply.clock_ms = ++this->endpoint_ms;
+    reply.born_ms = this->born_ms;
+    return reply;
+  }
+
+  void AnswerPoll(std::size_t index, OrderOutcome outcome,
+                  std::vector<runs::RunningRow> running = {},
+                  std::vector<runs::EndedRow> ended = {}) {
+    runs::PollReply reply;
+    reply.order = outcome == OrderOutcome::kUnanswered ? runs::OrderReply{}
+                                                       : this->Reply(outcome);
+    reply.running = std::move(running);
+    reply.ended = std::move(ended);
+    const auto answer = this->orders.polls[index].answer;
+    answer(reply);
+  }
+
+  bool Start(const std::string& task, std::int64_t cpu_milli = 6'800) {
+    runs::TaskOrder order;
+    order.task = task;
+    order.endpoint = "e";
+    order.resources = {cpu_milli, 64, 0};
+    order.estimate = milliseconds(100);
+    order.time_left = seconds(1);
+    runs::RunHandlers handlers;
+    handlers.on_end = [this, task](RunOutcome outcome) {
+      this->ends.emplace_back(task, outcome);
+    };
+    return this->session->Start(order, std::move(handlers));
+  }
+
+  void AnswerStart(std::size_t index, OrderOutcome outcome) {
+    const auto answer = this->orders.starts[index].answer;
+    answer(outcome == OrderOutcome::kUnanswered ? runs::OrderReply{}
+                                                : this->Reply(outcome));
+  }
+
+  ManualClock clock;
+  ScriptedOrders orders;
+  base::Metrics metrics;
+  runs::RunSettings settings;
+  runs::FencingToken tokens{"process#1"};
+  catalog::EndpointEntry entry;
+  std::int64_t endpoint_ms = 1'000;
+  std::int64_t born_ms = 7;
+  std::vector<std::pair<std::string, RunOutcome>> ends;
+  std::unique_ptr<EndpointSession> session;
+};
+
+TEST_F(EndpointSessionTest, TakesNoTaskBeforeItsTokenIsInForce) {
+  EXPECT_FALSE(this->Start("a"));
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  EXPECT_TRUE(this->Start("a"));
+}
+
+TEST_F(EndpointSessionTest, NeverStartsBeyondTheCapacity) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  EXPECT_TRUE(this->Start("a"));
+  EXPECT_TRUE(this->Start("b"));
+  EXPECT_FALSE(this->Start("c"));
+}
+
+TEST_F(EndpointSessionTest, RunsOfOthersFillTheEndpointUntilTheyEnd) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted, {{"x", 1, 10}});
+  EXPECT_FALSE(this->Start("a", 100));
+  ASSERT_EQ(this->orders.stops.size(), 1U);
+  EXPECT_EQ(this->orders.stops[0].order.task, "x");
+  this->orders.stops[0].answer(this->Reply(OrderOutcome::kAccepted));
+  EXPECT_FALSE(this->Start("a", 100));
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {},
+                   {{1, "x", 1, runs::RunEndKind::kStopped}});
+  EXPECT_TRUE(this->Start("a", 100));
+}
+
+// A process that was paused does not know that another one has claimed the
+// endpoint since. Raising its token to settle a lost answer must not take the
+// endpoint back: it does not know what runs there by now.
+TEST_F(EndpointSessionTest, ARecheckNeverOutranksALaterClaim) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->clock.Advance(seconds(2));
+  const std::uint64_t later_claim =
+      runs::FencingToken("process#2").Next(this->clock.WallMilliseconds(), 0);
+  this->clock.Advance(seconds(2));
+  ASSERT_TRUE(this->Start("b"));
+  this->AnswerPoll(1, OrderOutcome::kUnanswered);
+  for (const auto& sent : this->orders.polls) {
+    EXPECT_LT(sent.order.target.fence, later_claim);
+  }
+  for (const auto& sent : this->orders.starts) {
+    EXPECT_LT(sent.order.target.fence, later_claim);
+  }
+}
+
+TEST_F(EndpointSessionTest, AnUnansweredStartIsSettledByAHigherToken) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->clock.Advance(this->settings.doubt_after);
+  ASSERT_EQ(this->orders.polls.size(), 3U);
+  EXPECT_GT(this->orders.polls[2].order.target.fence,
+            this->orders.starts[0].order.target.fence);
+  EXPECT_TRUE(this->ends.empty());
+  this->AnswerPoll(2, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
+}
+
+TEST_F(EndpointSessionTest, AnUnansweredStartThatRunsIsKept) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->clock.Advance(this->settings.doubt_after);
+  this->AnswerPoll(2, OrderOutcome::kAccepted, {{"a", 1, 50}});
+  EXPECT_TRUE(this->ends.empty());
+  EXPECT_EQ(this->session->RunCount(), 1U);
+}
+
+TEST_F(EndpointSessionTest, ARunThatIsFencedOffIsLostOnlyWhenItsLeaseIsOver) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kFenced);
+  EXPECT_EQ(this->session->State(), SessionState::kFencedOff);
+  this->clock.Advance(milliseconds(990));
+  EXPECT_TRUE(this->ends.empty());
+  this->clock.Advance(milliseconds(100));
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
+}
+
+TEST_F(EndpointSessionTest, ARestartedEndpointHasLostItsRunsAndItsToken) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->born_ms = 8;
+  this->AnswerPoll(1, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
+  EXPECT_FALSE(this->Start("b"));
+  EXPECT_GT(this->orders.polls.back().order.target.fence,
+            this->orders.polls.front().order.target.fence);
+}
+
+struct RefusedStart {
+  const char* name;
+  OrderOutcome outcome;
+  RunOutcome end;
+};
+
+class RefusedStartTest : public EndpointSessionTest,
+                         public ::testing::WithParamInterface<RefusedStart> {};
+
+TEST_P(RefusedStartTest, EndsItsRunWithCertainty) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, GetParam().outcome);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, GetParam().end);
+  EXPECT_EQ(this->session->RunCount(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RefusedStartTest,
+    ::testing::Values(
+        RefusedStart{"Fenced", OrderOutcome::kFenced, RunOutcome::kNotRun},
+        RefusedStart{"Stale", OrderOutcome::kStaleRun, RunOutcome::kStaleRun},
+        RefusedStart{"Expired", OrderOutcome::kExpired, RunOutcome::kNotRun},
+        RefusedStart{"NoRoom", OrderOutcome::kNoRoom, RunOutcome::kNotRun},
+        RefusedStart{"Invalid", OrderOutcome::kInvalid, RunOutcome::kFailed},
+        RefusedStart{"Overloaded", OrderOutcome::kOverloaded,
+                     RunOutcome::kNotRun}),
+    [](const auto& row) { return row.param.name; });
+
+TEST_F(EndpointSessionTest, EndsAreAcknowledgedAtOnce) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {},
+                   {{5, "a", 1, runs::RunEndKind::kDone}});
+  ASSERT_EQ(this->orders.polls.size(), 3U);
+  EXPECT_EQ(this->orders.polls[2].order.acked_end, 5U);
+}
+
+TEST_F(EndpointSessionTest, AnIdleEndpointIsNotPolled) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  this->clock.Advance(seconds(30));
+  EXPECT_EQ(this->orders.polls.size(), 1U);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
