Contract tests of the adapter over real sockets

Store, orders and front against scripted servers and callers, faults in tables. Found: a task that had failed at the only endpoint waited for its deadline; it now runs there again.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -180,6 +180,11 @@
     if (task.state != Job::TaskState::kWaiting) continue;
     need.avoid = &task.avoid;
     Candidate* candidate = ChooseEndpoint(candidates, need);
+    if (candidate == nullptr && task.failed_runs > 0) {
+      // Better where it has failed before than nowhere.
+      need.avoid = nullptr;
+      candidate = ChooseEndpoint(candidates, need);
+    }
     if (candidate == nullptr) return false;
     runs::TaskOrder order;
     order.task = fmt::format("{}.0.0.{}", job.request.id, index);
--- /dev/null
+++ b/tests/platform/job_front_test.cc
@@ -0,0 +1,200 @@
+// Contract of the front for callers and for the balancer.
+
+#include "platform/job_front.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "base/glib_clock.h"
+#include "base/metrics.h"
+#include "catalog/catalog_controller.h"
+#include "http/async_http_client.h"
+#include "jobs/job_coordinator.h"
+#include "platform/record_codec.h"
+#include "support/http_call.h"
+#include "support/keyed_store_client.h"
+#include "support/loop.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+constexpr char kPath[] = "/p/00000000000000aa";
+constexpr char kJob[] =
+    R"({"jobSpec":"x","bestEffort":true,"steps":[{"count":2,"cpu":500,"estMs":50}]})";
+constexpr char kConfiguration[] =
+    R"({"version":1,"routes":[{"name":"r","host":"127.0.0.1","prefix":"/p/",
+    "service":"s","timeoutMs":1500,"sloMs":60,"stretch":1.6,"attempts":2}]})";
+
+// Runs every task at once with a set outcome.
+class InstantPlacer final : public jobs::Placer {
+ public:
+  std::vector<jobs::Candidate> Candidates() const override {
+    jobs::Candidate candidate;
+    candidate.endpoint = "e";
+    candidate.service = "s";
+    candidate.free = {this->has_room ? 100'000 : 0, 100'000, 0};
+    return {candidate};
+  }
+  bool Place(const jobs::Candidate&, const runs::TaskOrder&,
+             runs::RunHandlers handlers, jobs::PlacedRun*) override {
+    this->timers.StartTimer(
+        base::Duration{1'000},
+        [handlers, outcome = this->outcome] { handlers.on_end(outcome); });
+    return true;
+  }
+  void Stop(const jobs::PlacedRun&) override { ++this->stops; }
+  void SetWanting(bool) override {}
+
+  base::GlibClock timers;
+  bool has_room = true;
+  /// Whether tasks never end.
+  bool holds = false;
+  int stops = 0;
+  runs::RunOutcome outcome = runs::RunOutcome::kDone;
+};
+
+class JobFrontTest : public ::testing::Test {
+ protected:
+  JobFrontTest()
+      : process(this->timers),
+        store(this->shared, "client", this->process),
+        catalog(this->store, this->codec, this->timers),
+        jobs(this->timers, this->metrics, this->catalog, this->placer),
+        front(this->jobs, this->metrics,
+              {[this] { return this->ready; }, [] { return false; }}) {
+    EXPECT_TRUE(
+        this->front.Listen("127.0.0.1:18431", "127.0.0.1:18432").HasValue());
+  }
+
+  http::HttpReply Send(const std::string& method, const std::string& target,
+                       const std::string& body = "") {
+    return Call(method, "127.0.0.1:18431", target, body);
+  }
+
+  base::GlibClock timers;
+  ProcessClock process;
+  KeyedStore shared{this->timers};
+  KeyedStoreClient store;
+  platform::RecordCodec codec;
+  base::Metrics metrics;
+  catalog::CatalogController catalog;
+  InstantPlacer placer;
+  jobs::JobCoordinator jobs;
+  bool ready = true;
+  platform::JobFront front;
+};
+
+TEST_F(JobFrontTest, WithoutAConfigurationNothingIsTaken) {
+  const auto reply = this->Send("POST", kPath, kJob);
+  EXPECT_EQ(reply.status, 503);
+  EXPECT_EQ(this->Send("GET", "/p/").status, 503);
+}
+
+TEST_F(JobFrontTest, AJobIsAnsweredWhenItHasEnded) {
+  this->catalog.TakeConfiguration(kConfiguration, "test");
+  const auto reply = this->Send("POST", kPath, kJob);
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, R"({"state":"complete"})");
+}
+
+TEST_F(JobFrontTest, AFailedJobIsAnAnswerToo) {
+  this->catalog.TakeConfiguration(kConfiguration, "test");
+  this->placer.outcome = runs::RunOutcome::kFailed;
+  const auto reply = this->Send("POST", kPath, kJob);
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(reply.body, R"({"state":"failed"})");
+}
+
+TEST_F(JobFrontTest, ARefusalSaysWhenToComeBack) {
+  this->catalog.TakeConfiguration(kConfiguration, "test");
+  this->placer.has_room = false;
+  http::AsyncHttpClient client(this->timers, 1);
+  http::HttpCall call;
+  call.method = "POST";
+  call.address = "127.0.0.1:18431";
+  call.target = kPath;
+  call.body = kJob;
+  call.timeout = base::Duration{2'000'000};
+  std::optional<base::Result<http::HttpReply>> reply;
+  client.Send(call, [&](base::Result<http::HttpReply> r) { reply = r; });
+  ASSERT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  ASSERT_TRUE(reply->HasValue());
+  EXPECT_EQ((*reply)->status, 503);
+  const auto retry = (*reply)->headers.find("retry-after");
+  ASSERT_NE(retry, (*reply)->headers.end());
+  EXPECT_GE(std::stoi(retry->second), 1);
+}
+
+TEST_F(JobFrontTest, UnknownRoutesAndJobs) {
+  this->catalog.TakeConfiguration(kConfiguration, "test");
+  EXPECT_EQ(this->Send("POST", "/q/00000000000000aa", kJob).status, 404);
+  EXPECT_EQ(this->Send("GET", "/q/").status, 404);
+  EXPECT_EQ(this->Send("GET", "/p/").body, R"({"pending":0})");
+  EXPECT_EQ(this->Send("GET", kPath).status, 410);
+  EXPECT_EQ(this->Send("DELETE", kPath).status, 410);
+}
+
+TEST_F(JobFrontTest, TheBalancerHearsWhetherTheProcessIsReady) {
+  EXPECT_EQ(Call("GET", "127.0.0.1:18432", "/ready").status, 200);
+  this->ready = false;
+  EXPECT_EQ(Call("GET", "127.0.0.1:18432", "/ready").status, 503);
+}
+
+TEST_F(JobFrontTest, AJobWhoseCallerHasGoneIsGivenUp) {
+  this->catalog.TakeConfiguration(kConfiguration, "test");
+  this->placer.holds = true;
+  {
+    http::AsyncHttpClient client(this->timers, 1);
+    http::HttpCall call;
+    call.method = "POST";
+    call.address = "127.0.0.1:18431";
+    call.target = kPath;
+    call.body = kJob;
+    call.timeout = base::Duration{50'000};
+    bool done = false;
+    client.Send(call, [&](base::Result<http::HttpReply>) { done = true; });
+    ASSERT_TRUE(RunLoopUntil([&] { return this->jobs.OpenJobs() == 1; }));
+    ASSERT_TRUE(RunLoopUntil([&] { return done; }));
+  }
+  EXPECT_TRUE(RunLoopUntil([&] { return this->jobs.OpenJobs() == 0; }));
+  EXPECT_EQ(this->placer.stops, 2);
+}
+
+struct BadJob {
+  const char* name;
+  const char* path;
+  const char* body;
+  int status;
+};
+
+class BadJobTest : public JobFrontTest,
+                   public ::testing::WithParamInterface<BadJob> {};
+
+TEST_P(BadJobTest, IsRefusedBeforeItIsTaken) {
+  this->catalog.TakeConfiguration(kConfiguration, "test");
+  const auto reply = this->Send("POST", GetParam().path, GetParam().body);
+  EXPECT_EQ(reply.status, GetParam().status);
+  EXPECT_EQ(this->jobs.OpenJobs(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, BadJobTest,
+    ::testing::Values(
+        BadJob{"NoJson", kPath, "{", 400}, BadJob{"NoObject", kPath, "[]", 400},
+        BadJob{"NoSteps", kPath, R"({"bestEffort":true})", 400},
+        BadJob{"StepsOfAnotherType", kPath,
+               R"({"bestEffort":true,"steps":[7]})", 400},
+        BadJob{"NoTasks", kPath, R"({"bestEffort":true,"steps":[{"count":0}]})",
+               400},
+        BadJob{"ShortId", "/p/00aa", kJob, 400},
+        BadJob{"MustBeKept", kPath, R"({"steps":[{"count":1}]})", 503},
+        BadJob{"TwoSteps", kPath,
+               R"({"bestEffort":true,"steps":[{"count":1},{"count":1}]})", 503},
+        BadJob{"Gang", kPath,
+               R"({"bestEffort":true,"steps":[{"count":2,"gang":true}]})",
+               503}),
+    [](const auto& row) { return row.param.name; });
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/platform/order_contract_test.cc
@@ -0,0 +1,154 @@
+// Contract of the orders to the platform's endpoints, with faults in tables.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <optional>
+
+#include "base/glib_clock.h"
+#include "platform/order_client.h"
+#include "support/loop.h"
+#include "support/raw_server.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using runs::OrderOutcome;
+using runs::OrderReply;
+using std::chrono::milliseconds;
+
+RawReaction Reaction(const std::string& status, const std::string& body) {
+  return {"HTTP/1.1 " + status + "\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body,
+          false};
+}
+
+runs::StartOrder StartAt(const std::string& address) {
+  runs::StartOrder order;
+  order.target = {address, "i-1", 77, milliseconds(200)};
+  order.task = "t.0.0.1";
+  order.run = 2;
+  order.payload = "text \"quoted\"";
+  order.lease_until_ms = 900;
+  return order;
+}
+
+OrderReply Send(const RawServer& server) {
+  base::GlibClock clock;
+  platform::OrderClient client(clock);
+  std::optional<OrderReply> reply;
+  client.Start(StartAt(server.Address()),
+               [&](const OrderReply& given) { reply = given; });
+  EXPECT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  return *reply;
+}
+
+TEST(OrderContractTest, AStartCarriesTokenLeaseAndIncarnation) {
+  std::string request;
+  const RawServer server([&request](const std::string& text, int) {
+    request = text;
+    return Reaction("200 OK", R"({"clockMs":482,"born":5})");
+  });
+  const OrderReply reply = Send(server);
+  EXPECT_EQ(reply.outcome, OrderOutcome::kAccepted);
+  EXPECT_EQ(reply.clock_ms, 482);
+  EXPECT_EQ(reply.born_ms, 5);
+  for (const char* part :
+       {"POST /run-start", "Hawthornwheel-Expect-Instance: i-1",
+        R"("taskId":"t.0.0.1")", R"("runId":2)", R"("fence":77)",
+        R"("untilMs":900)", R"("jobSpec":"text \"quoted\"")"}) {
+    EXPECT_NE(request.find(part), std::string::npos) << part;
+  }
+}
+
+struct StartAnswer {
+  const char* name;
+  RawReaction reaction;
+  OrderOutcome outcome;
+};
+
+class StartAnswerTest : public ::testing::TestWithParam<StartAnswer> {};
+
+TEST_P(StartAnswerTest, IsDecodedOnce) {
+  const RawServer server(
+      [](const std::string&, int) { return GetParam().reaction; });
+  EXPECT_EQ(Send(server).outcome, GetParam().outcome);
+}
+
+RawReaction Conflict(const char* reason) {
+  return Reaction("409 Conflict",
+                  std::string(R"({"clockMs":1,"reason":")") + reason + "\"}");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, StartAnswerTest,
+    ::testing::Values(
+        StartAnswer{"Fenced", Conflict("fence"), OrderOutcome::kFenced},
+        StartAnswer{"Old", Conflict("old"), OrderOutcome::kStaleRun},
+        StartAnswer{"Late", Conflict("late"), OrderOutcome::kExpired},
+        StartAnswer{"Room", Conflict("room"), OrderOutcome::kNoRoom},
+        StartAnswer{"Invalid", Reaction("400 Bad Request", "{}"),
+                    OrderOutcome::kInvalid},
+        StartAnswer{"Misdirected", Reaction("421 Misdirected", "{}"),
+                    OrderOutcome::kWrongInstance},
+        StartAnswer{"TooMany", Reaction("429 Too Many Requests", "{}"),
+                    OrderOutcome::kOverloaded},
+        StartAnswer{"Unavailable", Reaction("503 Unavailable", "{}"),
+                    OrderOutcome::kOverloaded},
+        StartAnswer{"Broken", Reaction("500 Error", "{}"),
+                    OrderOutcome::kUnanswered},
+        StartAnswer{"Reset", RawReaction{"", true}, OrderOutcome::kUnanswered},
+        StartAnswer{"Silent", RawReaction{"", false},
+                    OrderOutcome::kUnanswered},
+        StartAnswer{"HalfAnswer", RawReaction{"HTTP/1.1 200 OK\r\nConte", true},
+                    OrderOutcome::kUnanswered}),
+    [](const auto& row) { return row.param.name; });
+
+TEST(OrderContractTest, APollTellsWhatRunsAndWhatEnded) {
+  std::string request;
+  const RawServer server([&request](const std::string& text, int) {
+    request = text;
+    return Reaction(
+        "200 OK",
+        R"({"clockMs":9,"born":5,"running":[["a",1,"",41],["broken"],7],)"
+        R"("endedRuns":[[58,"b",2,"done",""],[59,"c",1,"lapsed",""],[1]]})");
+  });
+  base::GlibClock clock;
+  platform::OrderClient client(clock);
+  runs::PollOrder order;
+  order.target = {server.Address(), "i-1", 7, milliseconds(500)};
+  order.lease_until_ms = 1000;
+  order.acked_end = 57;
+  order.wait = milliseconds(250);
+  std::optional<runs::PollReply> reply;
+  client.Poll(order, [&](const runs::PollReply& given) { reply = given; });
+  ASSERT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  ASSERT_EQ(reply->running.size(), 1U);
+  EXPECT_EQ(reply->running[0].percent, 41);
+  ASSERT_EQ(reply->ended.size(), 2U);
+  EXPECT_EQ(reply->ended[0].number, 58U);
+  EXPECT_EQ(reply->ended[0].kind, runs::RunEndKind::kDone);
+  EXPECT_EQ(reply->ended[1].kind, runs::RunEndKind::kLapsed);
+  for (const char* part : {"POST /hold", R"("ackedSeq":57)", R"("waitMs":250)",
+                           R"("untilMs":1000)"}) {
+    EXPECT_NE(request.find(part), std::string::npos) << part;
+  }
+}
+
+TEST(OrderContractTest, ConnectionsAreKept) {
+  const RawServer server([](const std::string&, int) {
+    return Reaction("200 OK", R"({"clockMs":1})");
+  });
+  base::GlibClock clock;
+  platform::OrderClient client(clock);
+  for (int i = 0; i < 5; ++i) {
+    std::optional<OrderReply> reply;
+    client.Start(StartAt(server.Address()),
+                 [&](const OrderReply& given) { reply = given; });
+    ASSERT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  }
+  EXPECT_EQ(server.Connections(), 1);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
--- /dev/null
+++ b/tests/platform/record_codec_test.cc
@@ -0,0 +1,80 @@
+#include "platform/record_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace hawthornwheel::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(RecordCodecTest, ReadsAConfiguration) {
+  const auto configuration = RecordCodec().DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"h.example","prefix":"/p/",
+      "timeoutMs":1500,"sloMs":60,"priority":2,"service":"s","attempts":4,
+      "stretch":1.6,"unknown":[]}],"limits":{"bodyBytes":9,"idleTimeoutMs":5}})");
+  ASSERT_TRUE(configuration.HasValue());
+  EXPECT_EQ(configuration->version, 7U);
+  const catalog::Route* route = configuration->FindRoute("h.example", "/p/x");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->timeout, milliseconds(1500));
+  EXPECT_EQ(route->objective_slack, milliseconds(60));
+  EXPECT_EQ(route->most_attempts, 4);
+  EXPECT_EQ(configuration->limits.body_bytes, 9U);
+  EXPECT_EQ(configuration->FindRoute("other.example", "/p/x"), nullptr);
+}
+
+TEST(RecordCodecTest, TheLongestPrefixWins) {
+  const auto configuration = RecordCodec().DecodeConfiguration(
+      R"({"version":1,"routes":[{"name":"a","host":"h","prefix":"/p/"},
+      {"name":"b","host":"h","prefix":"/p/q/"}]})");
+  ASSERT_TRUE(configuration.HasValue());
+  EXPECT_EQ(configuration->FindRoute("h", "/p/q/x")->name, "b");
+  EXPECT_EQ(configuration->FindRoute("h", "/p/x")->name, "a");
+}
+
+TEST(RecordCodecTest, ReadsAnEndpoint) {
+  const auto entry = RecordCodec().DecodeEndpoint(
+      "i-1",
+      R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"draining",
+      "capacity":{"cpu":16000,"memMb":32768,"gpu":1},"labels":["a","r1-3"],
+      "born":1700000000000})");
+  ASSERT_TRUE(entry.HasValue());
+  EXPECT_TRUE(entry->draining);
+  EXPECT_EQ(entry->capacity.cpu_milli, 16'000);
+  EXPECT_EQ(entry->labels.size(), 2U);
+  EXPECT_EQ(entry->born_ms, 1'700'000'000'000);
+}
+
+// Entries of other writers, with the codec's verdict.
+class BrokenEntryTest : public ::testing::TestWithParam<const char*> {};
+
+TEST_P(BrokenEntryTest, NamesNoEndpoint) {
+  EXPECT_FALSE(RecordCodec().DecodeEndpoint("i-1", GetParam()).HasValue());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, BrokenEntryTest,
+    ::testing::Values(
+        "", "\x80\x81", "[]", "{}", R"({"service":7})",
+        R"({"service":"s","addr":"nowhere","state":"ready","capacity":{}})",
+        R"({"service":"s","addr":"10.0.0.9:80","state":"odd","capacity":{}})",
+        R"({"service":"s","addr":"10.0.0.9:80","state":"ready"})",
+        R"({"service":"s","addr":"10.0.0.9:80","state":"ready","capacity":3})"));
+
+class BrokenConfigurationTest : public ::testing::TestWithParam<const char*> {};
+
+TEST_P(BrokenConfigurationTest, IsNotTaken) {
+  EXPECT_FALSE(RecordCodec().DecodeConfiguration(GetParam()).HasValue());
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, BrokenConfigurationTest,
+                         ::testing::Values("", "x", "[]", "{}",
+                                           R"({"version":"7"})",
+                                           R"({"version":7})",
+                                           R"({"version":7,"routes":{}})",
+                                           R"({"version":7,"routes":[1]})"));
+
+}  // namespace
+}  // namespace hawthornwheel::platform
