--- a/tests/platform/job_front_test.cc
+++ b/tests/platform/job_front_test.cc
@@ -38,6 +38,7 @@
   }
   bool Place(const jobs::Candidate&, const runs::TaskOrder&,
              runs::RunHandlers handlers, jobs::PlacedRun*) override {
+    if (this->holds) return true;
     this->timers.StartTimer(
         base::Duration{1'000},
         [handlers, outcome = this->outcome] { handlers.on_end(outcome); });
