Greetings are answered at once; settled 0.25 s after the members were read

Change: a new member is answered at once; the wait starts when the members were read in the store, or ends after 1.5 s without it. Each process spreads its choice among equal endpoints of others.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -30,8 +30,12 @@
 constexpr base::Duration kNewsDelay = milliseconds(100);
 // Least time between two messages that tell of waiting tasks.
 constexpr base::Duration kWantInterval = milliseconds(50);
-// Time in which each live member has sent two heartbeats.
-constexpr base::Duration kSettleTime = milliseconds(450);
+// Time in which members have answered the greeting of this process, and one
+// heartbeat of each has come besides.
+constexpr base::Duration kSettleTime = milliseconds(250);
+// A process that cannot read the members in the store relies on seeds and on
+// those that find it.
+constexpr base::Duration kMembersPatience = milliseconds(1'500);
 // A beat that comes this late means that the process did not run.
 constexpr base::Duration kPauseNoticed = milliseconds(600);
 constexpr base::Duration kSyncInterval = milliseconds(150);
@@ -68,6 +72,7 @@
       presence_timer(parts.clock),
       last_want(parts.clock.Now()),
       last_beat(parts.clock.Now()),
+      started(parts.clock.Now()),
       unsettled_until(parts.clock.Now() + kSettleTime),
       last_sync(parts.clock.Now()) {
   this->board.self = std::move(self);
@@ -103,7 +108,9 @@
 }
 
 bool ClusterController::IsSettled() const {
-  return this->parts.clock.Now() >= this->unsettled_until;
+  const base::TimePoint now = this->parts.clock.Now();
+  if (now < this->unsettled_until) return false;
+  return this->members_read || now >= this->started + kMembersPatience;
 }
 
 std::uint64_t ClusterController::OwnSteady() const {
@@ -133,6 +140,14 @@
 
 void ClusterController::ReceiveMembers(
     const std::vector<catalog::StoreRecord>& records) {
+  if (!this->members_read) {
+    this->members_read = true;
+    this->unsettled_until = this->parts.clock.Now() + kSettleTime;
+    for (const catalog::StoreRecord& record : records) {
+      this->Learn(record.key);
+    }
+    this->SendHeartbeats(Audience::kAll);
+  }
   for (const catalog::StoreRecord& record : records) {
     if (record.value.empty()) continue;
     this->Learn(record.key);
@@ -263,9 +278,23 @@
   this->SendHeartbeats(Audience::kLive);
 }
 
+void ClusterController::Greet(const std::string& address) {
+  wire::Envelope envelope;
+  this->WriteHeartbeat(*envelope.mutable_member_heartbeat());
+  this->Send(address, std::move(envelope));
+}
+
 void ClusterController::SendHeartbeats(Audience audience) {
   wire::Envelope envelope;
-  wire::MemberHeartbeat& beat = *envelope.mutable_member_heartbeat();
+  this->WriteHeartbeat(*envelope.mutable_member_heartbeat());
+  for (const auto& [address, member] : this->board.members) {
+    if (audience != Audience::kAll && !member.live) continue;
+    if (audience == Audience::kWanting && !member.last.wanting()) continue;
+    this->Send(address, envelope);
+  }
+}
+
+void ClusterController::WriteHeartbeat(wire::MemberHeartbeat& beat) const {
   *beat.mutable_member() = this->board.self;
   beat.set_leaving(this->board.leaving);
   beat.set_wanting(this->board.wanting);
@@ -276,11 +305,6 @@
   for (const auto& [address, member] : this->board.members) {
     if (member.live) beat.add_peers(address);
   }
-  for (const auto& [address, member] : this->board.members) {
-    if (audience != Audience::kAll && !member.live) continue;
-    if (audience == Audience::kWanting && !member.last.wanting()) continue;
-    this->Send(address, envelope);
-  }
 }
 
 void ClusterController::Leave() {
@@ -335,6 +359,7 @@
     kLog.Info("Member is live. member={} incarnation={} domain={}", address,
               beat.member().incarnation(), beat.member().domain());
   }
+  if (came) this->Greet(address);
   for (const std::string& peer : beat.peers()) this->Learn(peer);
   this->SyncWith(member);
   if (changed && this->members_listener) this->members_listener();
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -84,6 +84,8 @@
 
   void Beat();
   void SendHeartbeats(Audience audience);
+  void Greet(const std::string& address);
+  void WriteHeartbeat(wire::MemberHeartbeat& beat) const;
   void FindLost();
   void FindGone();
   bool IsConfirmedGone(const ClusterBoard::Member& member) const;
@@ -111,7 +113,9 @@
   base::Timer presence_timer;
   base::TimePoint last_want;
   base::TimePoint last_beat;
+  base::TimePoint started;
   base::TimePoint unsettled_until;
+  bool members_read = false;
   base::TimePoint last_sync;
 };
 
--- a/src/libs/jobs/candidate.h
+++ b/src/libs/jobs/candidate.h
@@ -18,6 +18,9 @@
   std::string holder;
   Distance distance = Distance::kLocal;
   catalog::Resources free;
+  /// Cost that differs between processes, so that those that see the same free
+  /// room do not all ask for the same endpoint.
+  double spread_cost = 0;
   /// Learned run time against the declared one.
   double pace = 1;
   std::vector<std::string> labels;
--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -71,7 +71,7 @@
       static_cast<double>(candidate.free.cpu_milli - need.resources.cpu_milli) /
       std::max<double>(static_cast<double>(need.resources.cpu_milli), 1);
   return worth - kSpeedCost / candidate.pace -
-         DistanceCost(candidate.distance) -
+         DistanceCost(candidate.distance) - candidate.spread_cost -
          kTightFitWeight * std::min(left, 2.0);
 }
 
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -1,5 +1,6 @@
 #include "jobs/fleet_placer.h"
 
+#include <functional>
 #include <utility>
 
 #include "cluster/cluster_controller.h"
@@ -10,6 +11,15 @@
 namespace {
 
 constexpr double kPercent = 100;
+// About the cost of a message to another domain.
+constexpr double kMostSpreadCost = 0.05;
+constexpr std::size_t kSpreadSteps = 64;
+
+double SpreadCost(const std::string& process, const std::string& endpoint) {
+  const std::size_t hash = std::hash<std::string>()(process + endpoint);
+  return kMostSpreadCost * static_cast<double>(hash % kSpreadSteps) /
+         kSpreadSteps;
+}
 
 }  // namespace
 
@@ -53,6 +63,7 @@
       if (candidate.free.cpu_milli <= 0) continue;
       if (this->remote.IsRefused(address, held.id())) continue;
       candidate.endpoint = held.id();
+      candidate.spread_cost = SpreadCost(board.self.peer_address(), held.id());
       candidate.service = held.service();
       candidate.holder = address;
       candidate.distance =
