--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -364,6 +364,53 @@
   }
 }
 
+TEST_F(HostedRulesTest, AProcessThatStopsRefusesLateJobsAndEndsTheOthers) {
+  this->StartTwoDomains();
+  const auto taken = this->fleet.Submit("north0", kPath, 2, milliseconds(600));
+  this->fleet.Run(milliseconds(50));
+  jobs::JobCoordinator& jobs = this->fleet.Process("north0").jobs;
+  jobs.RefuseNew();
+  const std::uint64_t starts = this->fleet.endpoints.Starts();
+  const auto late = this->fleet.Submit("north0", kPath, 2, milliseconds(100));
+  ASSERT_TRUE(late->has_value());
+  EXPECT_EQ((*late)->end, JobEnd::kRejected);
+  EXPECT_GT((*late)->retry_after, base::Duration{0});
+  this->fleet.Run(milliseconds(700));
+  ASSERT_TRUE(taken->has_value());
+  EXPECT_EQ((*taken)->end, JobEnd::kComplete);
+  EXPECT_EQ(this->fleet.endpoints.Starts(), starts);
+}
+
+TEST_F(HostedRulesTest, JobsThatAStopCutsShortAreAnsweredAndTheirTasksStopped) {
+  this->StartTwoDomains();
+  const auto answer =
+      this->fleet.Submit("north0", kPath, 2, milliseconds(1'200));
+  this->fleet.Run(milliseconds(50));
+  this->fleet.Process("north0").jobs.InterruptAll();
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kInterrupted);
+  this->fleet.Run(milliseconds(150));
+  EXPECT_EQ(this->fleet.endpoints.Ends(), 2U);
+}
+
+TEST_F(HostedRulesTest, AWayThatIsCutInOneDirectionTakesNoPlacements) {
+  this->StartTwoDomains();
+  // South hears north, but not the other way round.
+  this->fleet.network.Cut("south", "north");
+  this->fleet.Run(seconds(2));
+  // More than the endpoints of the north have room for.
+  std::vector<std::shared_ptr<std::optional<jobs::JobAnswer>>> answers;
+  for (int i = 0; i < 12; ++i) {
+    answers.push_back(
+        this->fleet.Submit("south0", kPath, 1, milliseconds(300)));
+  }
+  this->fleet.Run(milliseconds(600));
+  for (const auto& answer : answers) {
+    ASSERT_TRUE(answer->has_value());
+    EXPECT_NE((*answer)->end, JobEnd::kTimedOut);
+  }
+}
+
 TEST_F(HostedRulesTest, AnEndpointThatRestartsIsClaimedAnew) {
   this->StartTwoDomains();
   this->fleet.Submit("north0", kPath, 16, milliseconds(900));
