Steps with limits per endpoint and routes that need advice are refused

Cause: both were taken and then run without regard to them. Neither is served yet; they are refused before they are accepted, as the other kinds are. Test: BadJobTest LimitPerEndpoint.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -29,6 +29,10 @@
 // Beyond this many run times a task is stuck, and its progress says nothing of
 // its work.
 constexpr int kStuckRunTimes = 8;
+// Routes that need advice are not served yet; an update may change that.
+constexpr base::Duration kUnsupportedRetry = seconds(60);
+// More runs of one task than another process is likely to have made.
+constexpr std::uint64_t kStaleRunSkip = 8;
 // The balancer sends callers to other processes at once.
 constexpr base::Duration kLeavingRetry = seconds(1);
 constexpr base::Duration kNotReadyRetry = seconds(1);
@@ -84,6 +88,12 @@
     respond({JobEnd::kNoRoute, {}});
     return caller;
   }
+  if (route->needs_advice) {
+    kLog.Warning("Job is refused. job={} route={} cause=\"needs advice\"",
+                 request.id, route->name);
+    respond({JobEnd::kRejected, kUnsupportedRetry});
+    return caller;
+  }
   const auto job = std::make_shared<Job>();
   job->request = std::move(request);
   job->route = *route;
@@ -260,7 +270,7 @@
   }
   if (outcome == RunOutcome::kLost) task.avoid.insert(endpoint);
   // Another process may have run the task under higher numbers.
-  if (outcome == RunOutcome::kStaleRun) task.run += 8;
+  if (outcome == RunOutcome::kStaleRun) task.run += kStaleRunSkip;
   task.state = Job::TaskState::kWaiting;
   ++job.waiting;
   // With all its tasks refused, the job has not begun after all.
--- a/src/libs/jobs/job_request.h
+++ b/src/libs/jobs/job_request.h
@@ -23,8 +23,6 @@
   base::Duration estimate{0};
   /// Label that endpoints must have; empty for any.
   std::string required_label;
-  /// Most tasks of the job on one endpoint; 0 for any number.
-  int most_per_endpoint = 0;
   /// How long the caller waits; 0 leaves it to the route.
   base::Duration caller_timeout{0};
 };
