--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -120,6 +120,23 @@
   return best;
 }
 
+FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
+                       const TaskRequirements& requirements) {
+  FreeRoom room;
+  for (const Candidate& candidate : candidates) {
+    if (!IsAllowed(candidate, requirements)) continue;
+    const std::int64_t tasks =
+        requirements.resources.cpu_milli > 0
+            ? candidate.free.cpu_milli / requirements.resources.cpu_milli
+            : 1;
+    room.tasks += tasks;
+    const double pace = PaceFor(candidate, requirements);
+    if (DeadlineProbability(pace, requirements) >= kMinDeadlineProbability)
+      room.tasks_in_time += tasks;
+  }
+  return room;
+}
+
 bool CanMeetDeadline(const TaskRequirements& requirements) {
   return DeadlineProbability(kFastPace, requirements) >=
          kMinDeadlineProbability;
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,6 +55,18 @@
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements);
 
+/// Counts the tasks of one kind for which the candidates have free capacity.
+struct FreeRoom {
+  /// Tasks that fit.
+  std::int64_t tasks = 0;
+  /// Tasks that fit at endpoints that are likely to run them in time.
+  std::int64_t tasks_in_time = 0;
+};
+
+/// Returns the free capacity of `candidates` in tasks with `requirements`.
+FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
+                       const TaskRequirements& requirements);
+
 /// Returns whether a fast endpoint with free capacity would be likely to run
 /// the task in time.
 bool CanMeetDeadline(const TaskRequirements& requirements);
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -45,12 +46,17 @@
   base::TimePoint deadline;
   /// Time by which the first task must have been placed.
   base::TimePoint latest_start;
+  /// Times at which the first and the latest task was placed; empty before.
+  std::optional<base::TimePoint> first_placed;
+  std::optional<base::TimePoint> last_placed;
   std::vector<Task> tasks;
   /// Run time of a task at an endpoint of pace 1: the declared one, or the one
   /// that follows from the progress of a task.
   base::Duration nominal_run_time{0};
   /// Whether `nominal_run_time` follows from the progress of a task.
   bool nominal_run_time_measured = false;
+  /// Placements that another process refused because the endpoint was full.
+  int refused_placements = 0;
   /// Tasks that wait for an endpoint.
   int waiting_tasks = 0;
   int done_tasks = 0;
@@ -66,6 +72,10 @@
 
   /// Returns whether a run may have started or may still start.
   bool MayHaveRun() const { return this->has_run || this->placed_tasks > 0; }
+
+  /// Returns the highest pace at which a placed task runs, or 0 if none is
+  /// placed.
+  double SlowestPace() const;
 };
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -46,6 +46,24 @@
       static_cast<double>(span.count()) * factor));
 }
 
+// Returns whether the waiting tasks of `a` are placed before those of `b`. Jobs
+// that have started come first, since a job is answered only after its last
+// task; then jobs of more urgent routes, then those that must start soonest.
+bool IsPlacedBefore(const Job& a, const Job& b) {
+  if (a.MayHaveRun() != b.MayHaveRun()) return a.MayHaveRun();
+  if (a.route.priority != b.route.priority) {
+    return a.route.priority < b.route.priority;
+  }
+  return a.latest_start < b.latest_start;
+}
+
+// Returns the time from the arrival of a job to `event` in milliseconds, or -1
+// if it has not happened.
+std::int64_t AgeAt(const Job& job,
+                   const std::optional<base::TimePoint>& event) {
+  return event ? (*event - job.arrival) / milliseconds(1) : -1;
+}
+
 }  // namespace
 
 JobCoordinator::JobCoordinator(base::Clock& clock, base::Metrics& metrics,
@@ -69,6 +87,7 @@
   if (this->JoinOrReject(request.id, caller, respond)) return caller;
   const auto configuration = this->catalog.GetCatalog().configuration;
   if (!configuration) {
+    kLog.Info("Job is rejected. job={} cause=\"no configuration\"", request.id);
     respond({JobEnd::kNotReady, kNotReadyRetry});
     return caller;
   }
@@ -117,6 +136,7 @@
     return true;
   }
   if (!this->rejecting) return false;
+  kLog.Info("Job is rejected. job={} cause=\"process is leaving\"", id);
   respond({JobEnd::kRejected, kLeavingRetry});
   return true;
 }
@@ -169,16 +189,9 @@
     this->placer.SetTasksWaiting(false);
     return;
   }
-  // Jobs that have started come first, since a job is answered only after its
-  // last task; then jobs of more urgent routes, then those that must start
-  // soonest.
   std::sort(waiting_jobs.begin(), waiting_jobs.end(),
             [](const JobPointer& a, const JobPointer& b) {
-              if (a->MayHaveRun() != b->MayHaveRun()) return a->MayHaveRun();
-              if (a->route.priority != b->route.priority) {
-                return a->route.priority < b->route.priority;
-              }
-              return a->latest_start < b->latest_start;
+              return IsPlacedBefore(*a, *b);
             });
   std::vector<Candidate> candidates = this->placer.Candidates();
   bool tasks_waiting = false;
@@ -267,6 +280,8 @@
   candidate.free -= order.resources;
   task.state = Job::TaskState::kPlaced;
   --job.waiting_tasks;
+  job.last_placed = this->clock.Now();
+  if (!job.first_placed) job.first_placed = job.last_placed;
   if (++job.placed_tasks == 1 && !job.has_run) {
     this->metrics.Observe(
         "jobs.wait_ms", static_cast<double>((this->clock.Now() - job.arrival) /
@@ -307,6 +322,7 @@
   --job.placed_tasks;
   const bool refused =
       outcome == RunOutcome::kNotRun || outcome == RunOutcome::kStaleRun;
+  if (refused) ++job.refused_placements;
   if (!refused) job.has_run = true;
   if (outcome == RunOutcome::kDone) {
     task.state = Job::TaskState::kDone;
@@ -365,10 +381,12 @@
       Scale(requirements.estimate, PaceFor(*better, requirements)) <
           requirements.deadline;
   kLog.Info(
-      "Task is overdue. job={} task={} run={} endpoint={} expected_ms={} "
-      "left_ms={} moves={}",
-      id, index, run, task.placed_run.endpoint, expected / milliseconds(1),
-      (job.deadline - this->clock.Now()) / milliseconds(1), in_time);
+      "Task is overdue. job={} task={} run={} endpoint={} pace={:.2f} "
+      "expected_ms={} left_ms={} better_pace={:.2f} moves={}",
+      id, index, run, task.placed_run.endpoint, task.pace,
+      expected / milliseconds(1),
+      (job.deadline - this->clock.Now()) / milliseconds(1),
+      better == nullptr ? 0 : PaceFor(*better, requirements), in_time);
   if (!in_time) return;
   if (!stuck) {
     job.nominal_run_time = nominal_run_time;
@@ -442,24 +460,58 @@
   if (end == JobEnd::kComplete || end == JobEnd::kFailed) {
     this->recent_answers[id] = {end, now};
   }
+  this->LogEnd(*job, end, cause, answer.retry_after);
   for (const Job::Task& task : job->tasks) {
     if (task.state == Job::TaskState::kPlaced)
       this->placer.Stop(task.placed_run);
   }
   this->metrics.Count(std::string("jobs.") + NameOf(end));
-  if (end != JobEnd::kComplete) {
-    kLog.Info(
-        "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} "
-        "tasks={} done={} waiting={} retry_after_ms={}",
-        id, job->route.name, job->config_version, NameOf(end), cause,
-        (now - job->arrival) / milliseconds(1), job->request.task_count,
-        job->done_tasks, job->waiting_tasks,
-        answer.retry_after / milliseconds(1));
-  }
   for (const auto& [caller, respond] : job->responders) respond(answer);
   this->SchedulePlacement();
 }
 
+// Logs the end of a job with its size and the times of its placements. A job
+// that ends early is logged with the free capacity and the queue at that
+// moment.
+void JobCoordinator::LogEnd(const Job& job, JobEnd end, const char* cause,
+                            base::Duration retry_after) const {
+  const base::TimePoint now = this->clock.Now();
+  const std::string size = fmt::format(
+      "tasks={} estimate_ms={} cpu_milli={} wait_limit_ms={} "
+      "first_placed_ms={} last_placed_ms={} refused={}",
+      job.request.task_count, job.request.estimate / milliseconds(1),
+      job.request.resources.cpu_milli, AgeAt(job, job.latest_start),
+      AgeAt(job, job.first_placed), AgeAt(job, job.last_placed),
+      job.refused_placements);
+  const auto age_ms = (now - job.arrival) / milliseconds(1);
+  if (end == JobEnd::kComplete) {
+    kLog.Info("Job ended. job={} route={} end={} age_ms={} late={} {}",
+              job.request.id, job.route.name, NameOf(end), age_ms,
+              now > job.objective_end, size);
+    return;
+  }
+  const FreeRoom room =
+      CountFreeRoom(this->placer.Candidates(), this->RequirementsOf(job));
+  kLog.Info(
+      "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
+      "done={} waiting={} slowest_pace={:.2f} room={} room_in_time={} "
+      "ahead={} left_ms={} retry_after_ms={}",
+      job.request.id, job.route.name, job.config_version, NameOf(end), cause,
+      age_ms, size, job.done_tasks, job.waiting_tasks, job.SlowestPace(),
+      room.tasks, room.tasks_in_time, this->TasksAheadOf(job),
+      (job.deadline - now) / milliseconds(1), retry_after / milliseconds(1));
+}
+
+// Returns the number of tasks that wait before those of `job`.
+int JobCoordinator::TasksAheadOf(const Job& job) const {
+  int tasks = 0;
+  for (const auto& [id, other] : this->jobs) {
+    if (other->waiting_tasks > 0 && IsPlacedBefore(*other, job))
+      tasks += other->waiting_tasks;
+  }
+  return tasks;
+}
+
 std::int64_t JobCoordinator::PendingJobCount(const std::string& host,
                                              const std::string& path) const {
   const auto configuration = this->catalog.GetCatalog().configuration;
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -93,6 +93,9 @@
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
   void Finish(const std::string& id, JobEnd end, const char* cause);
+  void LogEnd(const Job& job, JobEnd end, const char* cause,
+              base::Duration retry_after) const;
+  int TasksAheadOf(const Job& job) const;
   void DropExpiredAnswers();
 
   base::Clock& clock;
--- a/src/libs/reports/html_page.cc
+++ b/src/libs/reports/html_page.cc
@@ -44,6 +44,31 @@
       kChartHeight, kChartWidth, kChartHeight, kChartHeight, bars);
 }
 
+std::string RenderSizes(const std::vector<JobSizeRow>& sizes) {
+  if (sizes.empty()) return "";
+  std::string rows;
+  for (const JobSizeRow& row : sizes) {
+    std::string unserved;
+    for (const auto& [cause, count] : row.unserved) {
+      unserved += fmt::format("{} {}; ", count, cause);
+    }
+    rows += fmt::format(
+        "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td>"
+        "<td>{}</td><td>{}</td><td>{:.0f}</td><td>{:.1f}</td><td>{:.1f}</td>"
+        "</tr>\n",
+        Escape(row.route), row.range, row.offered, row.complete, row.late,
+        row.placed_late, Escape(unserved), row.rejected_age_ms,
+        row.rejected_room, row.rejected_room_in_time);
+  }
+  return fmt::format(
+      "<h2>Jobs by declared work</h2><p>Free room is counted in tasks of the "
+      "job.</p><table><tr><th>route</th><th>size</th><th>offered</th>"
+      "<th>complete</th><th>of these late</th><th>placed late</th>"
+      "<th>not served</th><th>mean age of the rejected, ms</th>"
+      "<th>room then</th><th>room in time then</th></tr>\n{}</table>\n",
+      rows);
+}
+
 std::string RenderJob(const LogReport& report, const std::string& job) {
   const std::vector<LogLine> lines = report.LinesOfJob(job);
   std::string rows;
@@ -73,6 +98,7 @@
   for (const LogReport::Series& series : report.EventsBySecond()) {
     body += RenderChart(series);
   }
+  body += RenderSizes(report.JobsBySize());
   if (!job.empty()) body += RenderJob(report, job);
   return fmt::format(
       "<!doctype html><html><head><meta charset='utf-8'>"
--- a/src/libs/reports/log_report.h
+++ b/src/libs/reports/log_report.h
@@ -6,12 +6,13 @@
 #include <vector>
 
 #include "base/result.h"
+#include "reports/job_sizes.h"
 #include "reports/log_line.h"
 
 namespace hawthornwheel::reports {
 
-/// Evaluates the logs of a fleet: counts events per second and collects the log
-/// lines of a job.
+/// Evaluates the logs of a fleet: counts events per second and jobs by size,
+/// and collects the log lines of a job.
 class LogReport {
  public:
   /// Reads all `*.log` files of a folder. The file name without its extension
@@ -37,6 +38,11 @@
   /// Returns the lines about a job or its tasks, ordered by time.
   std::vector<LogLine> LinesOfJob(const std::string& job) const;
 
+  /// Returns the outcomes of jobs by route and size; see CountJobsBySize().
+  std::vector<JobSizeRow> JobsBySize() const {
+    return CountJobsBySize(this->lines);
+  }
+
   std::size_t LineCount() const { return this->lines.size(); }
 
  private:
--- a/tests/reports/log_report_test.cc
+++ b/tests/reports/log_report_test.cc
@@ -74,6 +74,57 @@
   EXPECT_FALSE(LogReport::Read("/nonexistent").HasValue());
 }
 
+// A route of 20 jobs with sizes 1 to 20, of which the largest four end in
+// different ways, and one job without a size.
+LogReport ReportOfSizes() {
+  LogReport report;
+  for (int size = 1; size <= 20; ++size) {
+    std::string outcome = "end=complete late=false last_placed_ms=10";
+    if (size == 20) outcome = "end=timed_out cause=deadline last_placed_ms=90";
+    if (size == 19) outcome = "end=complete late=true last_placed_ms=60";
+    if (size == 18) {
+      outcome =
+          "end=rejected cause=\"no room in time\" age_ms=50 room=4 "
+          "room_in_time=1 last_placed_ms=-1";
+    }
+    report.Add(
+        Line("time_ms=1 level=info part=job msg=\"Job ended.\" route=r "
+             "tasks=2 cpu_milli=100 wait_limit_ms=50 estimate_ms=" +
+             std::to_string(size) + " " + outcome));
+  }
+  report.Add(Line(
+      "time_ms=1 level=info part=job msg=\"Job ended.\" route=r end=rejected"));
+  return report;
+}
+
+TEST(LogReportTest, JobsAreCountedByDeclaredWork) {
+  const auto rows = ReportOfSizes().JobsBySize();
+  ASSERT_EQ(rows.size(), 4U);
+  EXPECT_EQ(rows[0].range, "largest tenth");
+  EXPECT_EQ(rows[0].offered, 2);
+  EXPECT_EQ(rows[0].complete, 1);
+  EXPECT_EQ(rows[0].late, 1);
+  EXPECT_EQ(rows[0].placed_late, 2);
+  EXPECT_EQ(rows[0].unserved.at("timed_out: deadline"), 1);
+  EXPECT_EQ(rows[1].range, "next fifth");
+  EXPECT_EQ(rows[1].offered, 4);
+  EXPECT_EQ(rows[1].unserved.at("rejected: no room in time"), 1);
+  EXPECT_DOUBLE_EQ(rows[1].rejected_age_ms, 50);
+  EXPECT_DOUBLE_EQ(rows[1].rejected_room, 4);
+  EXPECT_DOUBLE_EQ(rows[1].rejected_room_in_time, 1);
+  EXPECT_EQ(rows[2].offered, 14);
+  EXPECT_EQ(rows[2].complete, 14);
+  EXPECT_EQ(rows[3].offered, 20);
+}
+
+TEST(HtmlPageTest, SizesAreShownWhenLogsContainThem) {
+  const std::string page = reports::RenderPage(ReportOfSizes(), "");
+  EXPECT_NE(page.find("largest tenth"), std::string::npos);
+  EXPECT_NE(page.find("1 timed_out: deadline"), std::string::npos);
+  EXPECT_EQ(reports::RenderPage(ReportOfTwoJobs(), "").find("largest tenth"),
+            std::string::npos);
+}
+
 TEST(HtmlPageTest, LogTextIsEscaped) {
   LogReport report;
   report.Add(Line("time_ms=1 level=info part=job msg=\"<b>\" job=ab"));
