--- a/tests/support/hosted_fleet.cc
+++ b/tests/support/hosted_fleet.cc
@@ -75,6 +75,12 @@
 std::shared_ptr<std::optional<jobs::JobAnswer>> HostedFleet::Submit(
     const std::string& process, const std::string& path, int tasks,
     base::Duration time, runs::RunEndKind kind) {
+  return this->SubmitWithEstimate(process, path, tasks, time, time, kind);
+}
+
+std::shared_ptr<std::optional<jobs::JobAnswer>> HostedFleet::SubmitWithEstimate(
+    const std::string& process, const std::string& path, int tasks,
+    base::Duration time, base::Duration estimate, runs::RunEndKind kind) {
   jobs::JobRequest request;
   request.id = fmt::format("{:016x}", this->next_job++);
   request.host = "h";
@@ -82,7 +88,7 @@
   request.payload = request.id;
   request.task_count = tasks;
   request.resources = {kTaskCpuMilli, kTaskMemoryMb, 0};
-  request.estimate = time;
+  request.estimate = estimate;
   this->endpoints.SetTask(request.payload, time, kind);
   this->endpoints.SetCpu(request.payload, kTaskCpuMilli);
   auto answer = std::make_shared<std::optional<jobs::JobAnswer>>();
--- a/tests/support/hosted_fleet.h
+++ b/tests/support/hosted_fleet.h
@@ -53,6 +53,12 @@
       const std::string& process, const std::string& path, int tasks,
       base::Duration time, runs::RunEndKind kind = runs::RunEndKind::kDone);
 
+  /// Like Submit(), with the run time estimate `estimate`.
+  std::shared_ptr<std::optional<jobs::JobAnswer>> SubmitWithEstimate(
+      const std::string& process, const std::string& path, int tasks,
+      base::Duration time, base::Duration estimate,
+      runs::RunEndKind kind = runs::RunEndKind::kDone);
+
   /// Like Submit(), but returns the job's id.
   std::string SubmitAndGetId(const std::string& process,
                              const std::string& path, int tasks,
