--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -137,6 +137,12 @@
   return room;
 }
 
+bool CanEndInTime(base::Duration remaining, base::Duration left) {
+  const double ratio = static_cast<double>(left.count()) /
+                       std::max(static_cast<double>(remaining.count()), 1.0);
+  return ProbabilityBelow(ratio, kMeasuredLogStdDev) >= kMinDeadlineProbability;
+}
+
 bool CanMeetDeadline(const TaskRequirements& requirements) {
   return DeadlineProbability(kFastPace, requirements) >=
          kMinDeadlineProbability;
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -67,6 +67,10 @@
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
                        const TaskRequirements& requirements);
 
+/// Returns whether a run that needs `remaining` more time by its progress is
+/// likely to end within `left`.
+bool CanEndInTime(base::Duration remaining, base::Duration left);
+
 /// Returns whether a fast endpoint with free capacity would be likely to run
 /// the task in time.
 bool CanMeetDeadline(const TaskRequirements& requirements);
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -26,6 +26,8 @@
     std::uint64_t run = 0;
     int failed_runs = 0;
     PlacedRun placed_run;
+    /// Time of the latest placement.
+    base::TimePoint placed_at;
     /// Pace of the task at the endpoint where it was placed; see PaceFor().
     double pace = 1;
     /// Set while the run is being stopped to restart the task at another
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -280,7 +280,8 @@
   candidate.free -= order.resources;
   task.state = Job::TaskState::kPlaced;
   --job.waiting_tasks;
-  job.last_placed = this->clock.Now();
+  task.placed_at = this->clock.Now();
+  job.last_placed = task.placed_at;
   if (!job.first_placed) job.first_placed = job.last_placed;
   if (++job.placed_tasks == 1 && !job.has_run) {
     this->metrics.Observe(
@@ -387,7 +388,14 @@
       expected / milliseconds(1),
       (job.deadline - this->clock.Now()) / milliseconds(1),
       better == nullptr ? 0 : PaceFor(*better, requirements), in_time);
-  if (!in_time) return;
+  if (!in_time) {
+    const base::TimePoint now = this->clock.Now();
+    if (CanEndInTime(task.placed_at + expected - now, job.deadline - now))
+      return;
+    if (!CanMeetDeadline(requirements))
+      this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
+    return;
+  }
   if (!stuck) {
     job.nominal_run_time = nominal_run_time;
     job.nominal_run_time_measured = true;
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -24,44 +24,52 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Offers two endpoints with enough free capacity for every task. The test ends
-// the runs itself.
+Candidate MakeCandidate(std::string_view endpoint, double pace,
+                        std::int64_t cpu_milli) {
+  Candidate candidate;
+  candidate.endpoint = endpoint;
+  candidate.service = "s";
+  candidate.free = {cpu_milli, 1'000'000, 0};
+  candidate.pace = pace;
+  return candidate;
+}
+
+// Offers the endpoints that the test sets, at first two with enough free
+// capacity for every task. The test ends the runs itself.
 class ScriptedPlacer final : public jobs::Placer {
  public:
-  std::vector<Candidate> Candidates() const override {
-    std::vector<Candidate> candidates(2);
-    candidates[0].endpoint = "e";
-    candidates[1].endpoint = "f";
-    for (Candidate& candidate : candidates) {
-      candidate.service = "s";
-      candidate.free = {1'000'000, 1'000'000, 0};
-    }
-    return candidates;
-  }
+  std::vector<Candidate> Candidates() const override { return this->offered; }
   bool Place(const Candidate&, const runs::TaskOrder& order,
              runs::RunHandlers handlers, jobs::PlacedRun* placed) override {
     *placed = {0, order.endpoint, order.task, order.run};
     this->placed.push_back(std::move(handlers));
+    this->endpoints.push_back(order.endpoint);
     return true;
   }
   void Stop(const jobs::PlacedRun&) override { ++this->stops; }
   void SetTasksWaiting(bool) override {}
 
+  std::vector<Candidate> offered = {MakeCandidate("e", 1, 1'000'000),
+                                    MakeCandidate("f", 1, 1'000'000)};
+  /// Handlers and endpoint of each placement.
   std::vector<runs::RunHandlers> placed;
+  std::vector<std::string> endpoints;
   int stops = 0;
 };
 
 class JobCoordinatorTest : public ::testing::Test {
  protected:
-  std::uint64_t Submit() {
+  std::uint64_t Submit(const std::string& id = "0123456789abcdef",
+                       base::Duration estimate = milliseconds(100)) {
     jobs::JobRequest request;
-    request.id = "0123456789abcdef";
+    request.id = id;
     request.task_count = 1;
     request.resources = {1'000, 1, 0};
-    request.estimate = milliseconds(100);
+    request.estimate = estimate;
     catalog::Route route;
     route.service = "s";
     route.timeout = milliseconds(1'500);
+    route.objective_stretch = 1.6;
     route.objective_slack = milliseconds(60);
     route.max_attempts = 4;
     const std::uint64_t caller = this->coordinator.Accept(
@@ -71,6 +79,12 @@
     return caller;
   }
 
+  void Offer(std::vector<Candidate> candidates) {
+    this->placer.offered = std::move(candidates);
+    this->coordinator.SchedulePlacement();
+    this->clock.Advance(milliseconds(1));
+  }
+
   ManualClock clock;
   base::Metrics metrics;
   KeyedStore store{this->clock};
@@ -112,5 +126,25 @@
   EXPECT_EQ(this->placer.stops, stops);
 }
 
+// A job whose run could not end in time at any endpoint kept its endpoints
+// until the deadline, while other jobs had none.
+TEST_F(JobCoordinatorTest, JobThatCannotMeetItsDeadlineEndsAtOnce) {
+  this->Submit("0123456789abcdef", milliseconds(900));
+  ASSERT_EQ(this->placer.placed.size(), 1U);
+  this->clock.Advance(milliseconds(160));
+  this->placer.placed[0].on_overdue(milliseconds(2'500));
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kInterrupted);
+  EXPECT_EQ(this->placer.stops, 1);
+}
+
+TEST_F(JobCoordinatorTest, JobContinuesWhenItsRunMayStillEndInTime) {
+  this->Submit("0123456789abcdef", milliseconds(900));
+  this->clock.Advance(milliseconds(160));
+  this->placer.placed[0].on_overdue(milliseconds(1'550));
+  EXPECT_TRUE(this->answers.empty());
+  EXPECT_EQ(this->placer.stops, 0);
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
