--- a/src/libs/jobs/candidate.h
+++ b/src/libs/jobs/candidate.h
@@ -12,9 +12,9 @@
 /// process, another one of its failure domain, or one of another domain.
 enum class Distance { kLocal, kSameDomain, kOtherDomain };
 
-/// Describes an endpoint with free capacity that this process or another one
-/// holds. Its views and pointers refer to the data of the board or session, and
-/// are valid until control returns to the event loop.
+/// Describes an endpoint that takes tasks, held by this process or another one.
+/// Its views and pointers refer to the data of the board or session, and are
+/// valid until control returns to the event loop.
 struct Candidate {
   std::string_view endpoint;
   std::string_view service;
@@ -22,7 +22,7 @@
   /// process.
   std::string_view holder;
   Distance distance = Distance::kLocal;
-  /// Free capacity.
+  /// Free capacity; zero or less where there is none.
   catalog::Resources free;
   /// Cost that differs between processes, so that processes that see the same
   /// free capacity do not all request the same endpoint.
--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -26,10 +27,13 @@
 // Weight of the CPU that a task leaves on an endpoint, where it may be
 // unusable, in multiples of the CPU that the task needs, at most 2.
 constexpr double kLeftoverCpuWeight = 0.02;
-// Pace of the fastest endpoints in the users' fleets.
-constexpr double kFastPace = 0.6;
+// Pace that is assumed to be available when no endpoint is known.
+constexpr double kAssumedBestPace = 0.6;
 // Minimum probability of meeting the deadline for a task to be started.
 constexpr double kMinDeadlineProbability = 0.1;
+// Minimum probability of meeting the deadline at an endpoint, as a share of the
+// probability at a fast one. Below it, the task waits for a faster endpoint.
+constexpr double kMinShareOfBestProbability = 0.3;
 
 double DistanceCost(Distance distance, int job_task_count) {
   const double tasks = std::max(job_task_count, 1);
@@ -50,10 +54,10 @@
              candidate.labels->end();
 }
 
+// Returns whether the task may run at the endpoint, whatever its free capacity.
 bool IsAllowed(const Candidate& candidate,
                const TaskRequirements& requirements) {
   if (candidate.service != requirements.service) return false;
-  if (!requirements.resources.FitsInto(candidate.free)) return false;
   if (!requirements.label.empty() && !HasLabel(candidate, requirements.label))
     return false;
   return requirements.avoid == nullptr || requirements.avoid->empty() ||
@@ -76,6 +80,27 @@
       requirements.estimate_log_std_dev);
 }
 
+// Returns the lowest pace among the endpoints where the task may run.
+double BestPace(const std::vector<Candidate>& candidates,
+                const TaskRequirements& requirements) {
+  std::optional<double> best;
+  for (const Candidate& candidate : candidates) {
+    if (!IsAllowed(candidate, requirements)) continue;
+    const double pace = PaceFor(candidate, requirements);
+    if (!best || pace < *best) best = pace;
+  }
+  return best.value_or(kAssumedBestPace);
+}
+
+// Returns the lowest probability of meeting the deadline at which the task is
+// started at an endpoint.
+double MinProbability(const std::vector<Candidate>& candidates,
+                      const TaskRequirements& requirements) {
+  const double best =
+      DeadlineProbability(BestPace(candidates, requirements), requirements);
+  return std::max(kMinDeadlineProbability, kMinShareOfBestProbability * best);
+}
+
 double Score(const Candidate& candidate, const TaskRequirements& requirements,
              double pace, double deadline_probability) {
   const double objective_probability =
@@ -105,13 +130,15 @@
 
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements) {
+  const double min_probability = MinProbability(candidates, requirements);
   Candidate* best = nullptr;
   double best_score = 0;
   for (Candidate& candidate : candidates) {
+    if (!requirements.resources.FitsInto(candidate.free)) continue;
     if (!IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
     const double probability = DeadlineProbability(pace, requirements);
-    if (probability < kMinDeadlineProbability) continue;
+    if (probability < min_probability) continue;
     const double score = Score(candidate, requirements, pace, probability);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
@@ -120,10 +147,24 @@
   return best;
 }
 
+void Reserve(std::vector<Candidate>& candidates,
+             const TaskRequirements& requirements) {
+  const double min_probability = MinProbability(candidates, requirements);
+  for (Candidate& candidate : candidates) {
+    if (candidate.free.cpu_milli <= 0) continue;
+    if (!IsAllowed(candidate, requirements)) continue;
+    const double pace = PaceFor(candidate, requirements);
+    if (DeadlineProbability(pace, requirements) >= min_probability)
+      candidate.free = {};
+  }
+}
+
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
                        const TaskRequirements& requirements) {
+  const double min_probability = MinProbability(candidates, requirements);
   FreeRoom room;
   for (const Candidate& candidate : candidates) {
+    if (!requirements.resources.FitsInto(candidate.free)) continue;
     if (!IsAllowed(candidate, requirements)) continue;
     const std::int64_t tasks =
         requirements.resources.cpu_milli > 0
@@ -131,7 +172,7 @@
             : 1;
     room.tasks += tasks;
     const double pace = PaceFor(candidate, requirements);
-    if (DeadlineProbability(pace, requirements) >= kMinDeadlineProbability)
+    if (DeadlineProbability(pace, requirements) >= min_probability)
       room.tasks_in_time += tasks;
   }
   return room;
@@ -143,9 +184,10 @@
   return ProbabilityBelow(ratio, kMeasuredLogStdDev) >= kMinDeadlineProbability;
 }
 
-bool CanMeetDeadline(const TaskRequirements& requirements) {
-  return DeadlineProbability(kFastPace, requirements) >=
-         kMinDeadlineProbability;
+bool CanMeetDeadline(const std::vector<Candidate>& candidates,
+                     const TaskRequirements& requirements) {
+  return DeadlineProbability(BestPace(candidates, requirements),
+                             requirements) >= kMinDeadlineProbability;
 }
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -47,14 +47,20 @@
 double PaceFor(const Candidate& candidate,
                const TaskRequirements& requirements);
 
-/// Returns the best endpoint for a task, or null when no endpoint is likely to
-/// run it in time. The score is the expected value of the answer, which follows
+/// Returns the best endpoint with free capacity for a task, or null when none
+/// is likely to run it in time, or when one without free capacity is much more
+/// likely to. The score is the expected value of the answer, which follows
 /// from the probabilities of meeting the deadline and the objective there, less
 /// the costs of a fast endpoint, a distant holder, jitter and leftover CPU. As
 /// a result, long tasks go to fast endpoints, and short tasks leave those free.
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements);
 
+/// Withdraws the free capacity of the endpoints that the task would use if they
+/// had enough, so that tasks of later jobs leave it to this one.
+void Reserve(std::vector<Candidate>& candidates,
+             const TaskRequirements& requirements);
+
 /// Counts the tasks of one kind for which the candidates have free capacity.
 struct FreeRoom {
   /// Tasks that fit.
@@ -71,8 +77,9 @@
 /// likely to end within `left`.
 bool CanEndInTime(base::Duration remaining, base::Duration left);
 
-/// Returns whether a fast endpoint with free capacity would be likely to run
-/// the task in time.
-bool CanMeetDeadline(const TaskRequirements& requirements);
+/// Returns whether the fastest endpoint for the task would be likely to run it
+/// in time if it had free capacity.
+bool CanMeetDeadline(const std::vector<Candidate>& candidates,
+                     const TaskRequirements& requirements);
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -38,12 +38,10 @@
 void FleetPlacer::AddLocal(std::vector<Candidate>& candidates) const {
   for (const auto& [id, session] : this->pool.Sessions()) {
     if (!session->IsOpen()) continue;
-    const catalog::Resources free = session->Free();
-    if (free.cpu_milli <= 0) continue;
     Candidate& candidate = candidates.emplace_back();
     candidate.endpoint = id;
     candidate.service = session->Entry().service;
-    candidate.free = free;
+    candidate.free = session->Free();
     candidate.pace = session->Health().Pace();
     candidate.labels = &session->Entry().labels;
   }
@@ -59,11 +57,11 @@
                                   ? Distance::kSameDomain
                                   : Distance::kOtherDomain;
     for (const auto& [id, held] : member.held) {
-      if (!held.open || held.free.cpu_milli <= 0) continue;
+      if (!held.open) continue;
       catalog::Resources free = held.free;
-      free -= this->remote.UnreportedResources(member, id);
-      if (free.cpu_milli <= 0) continue;
-      if (this->remote.IsRefused(member, id)) continue;
+      if (free.cpu_milli > 0)
+        free -= this->remote.UnreportedResources(member, id);
+      if (this->remote.IsRefused(member, id)) free = {};
       Candidate& candidate = candidates.emplace_back();
       candidate.endpoint = id;
       candidate.service = held.service;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -57,6 +57,12 @@
   return a.latest_start < b.latest_start;
 }
 
+bool HasFreeCapacity(const std::vector<Candidate>& candidates) {
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& candidate) { return candidate.free.cpu_milli > 0; });
+}
+
 // Returns the time from the arrival of a job to `event` in milliseconds, or -1
 // if it has not happened.
 std::int64_t AgeAt(const Job& job,
@@ -197,16 +203,17 @@
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
     if (this->PlaceTasks(*job, candidates)) continue;
-    if (!CanMeetDeadline(this->RequirementsOf(*job))) {
+    if (!CanMeetDeadline(candidates, this->RequirementsOf(*job))) {
       this->Finish(job->request.id,
                    job->MayHaveRun() ? JobEnd::kInterrupted : JobEnd::kRejected,
                    "cannot meet the deadline");
       continue;
     }
-    // Later jobs wait too; otherwise a large task would never find an endpoint
-    // with enough free capacity.
+    // Later jobs leave these endpoints to this one; otherwise a large task
+    // would never find an endpoint with enough free capacity.
     tasks_waiting = true;
-    break;
+    Reserve(candidates, this->RequirementsOf(*job));
+    if (!HasFreeCapacity(candidates)) break;
   }
   this->placer.SetTasksWaiting(tasks_waiting);
 }
@@ -392,7 +399,7 @@
     const base::TimePoint now = this->clock.Now();
     if (CanEndInTime(task.placed_at + expected - now, job.deadline - now))
       return;
-    if (!CanMeetDeadline(requirements))
+    if (!CanMeetDeadline(candidates, requirements))
       this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
     return;
   }
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -23,7 +23,7 @@
  public:
   virtual ~Placer() = default;
 
-  /// Returns the endpoints that take tasks at present, with their free
+  /// Returns the endpoints that take tasks at present, also those without free
   /// capacity.
   virtual std::vector<Candidate> Candidates() const = 0;
 
--- a/tests/jobs/endpoint_choice_test.cc
+++ b/tests/jobs/endpoint_choice_test.cc
@@ -114,10 +114,48 @@
     [](const auto& row) { return row.param.name; });
 
 TEST(EndpointChoiceTest, TaskThatCannotMeetItsDeadlineIsDetected) {
+  const std::vector<Candidate> candidates = {MakeCandidate("fast", 0.62)};
   TaskRequirements requirements = MakeRequirements(900);
-  EXPECT_TRUE(CanMeetDeadline(requirements));
+  EXPECT_TRUE(CanMeetDeadline(candidates, requirements));
   requirements.deadline = milliseconds(200);
-  EXPECT_FALSE(CanMeetDeadline(requirements));
+  EXPECT_FALSE(CanMeetDeadline(candidates, requirements));
+}
+
+// Load pattern: jobs of long tasks arrive while the fast endpoints are full.
+// They were started at slow endpoints, where most of them missed the deadline.
+TEST(EndpointChoiceTest, LongTaskWaitsForFastEndpointWhenSlowOneIsUnlikely) {
+  Candidate fast = MakeCandidate("fast", 0.62);
+  fast.free = {};
+  EXPECT_EQ(ChosenEndpoint({MakeCandidate("slow", 1.67), fast},
+                           MakeRequirements(1'300)),
+            "none");
+  EXPECT_EQ(ChosenEndpoint({MakeCandidate("slow", 1.67), fast},
+                           MakeRequirements(500)),
+            "slow");
+}
+
+TEST(EndpointChoiceTest, LongTaskUsesSlowEndpointWhenNoneIsFaster) {
+  EXPECT_EQ(
+      ChosenEndpoint({MakeCandidate("slow", 1.67)}, MakeRequirements(1'300)),
+      "slow");
+}
+
+TEST(EndpointChoiceTest, ReservedCapacityIsThatOfEndpointsInTime) {
+  std::vector<Candidate> candidates = {
+      MakeCandidate("slow", 1.67),
+      MakeCandidate("fast", 0.62, Distance::kLocal, 5'000)};
+  Reserve(candidates, MakeRequirements(1'300));
+  EXPECT_EQ(candidates[0].free.cpu_milli, 16'000);
+  EXPECT_EQ(candidates[1].free.cpu_milli, 0);
+}
+
+TEST(EndpointChoiceTest, FreeRoomIsCountedInTasks) {
+  const FreeRoom room =
+      CountFreeRoom({MakeCandidate("slow", 1.67), MakeCandidate("fast", 0.62),
+                     MakeCandidate("full", 0.62, Distance::kLocal, 6'000)},
+                    MakeRequirements(1'300));
+  EXPECT_EQ(room.tasks, 4);
+  EXPECT_EQ(room.tasks_in_time, 2);
 }
 
 // Load pattern: the data of one key is in one rack, and many jobs need this
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -146,5 +146,22 @@
   EXPECT_EQ(this->placer.stops, 0);
 }
 
+// A long task that waited for a fast endpoint blocked all later jobs, also
+// where they could use endpoints that are too slow for it.
+TEST_F(JobCoordinatorTest, ShortTaskUsesEndpointThatIsTooSlowForWaitingTask) {
+  this->Offer({MakeCandidate("slow", 2, 2'000), MakeCandidate("fast", 0.6, 0)});
+  this->Submit("00000000000000a1", milliseconds(1'000));
+  EXPECT_TRUE(this->placer.placed.empty());
+  this->Submit("00000000000000b2", milliseconds(100));
+  EXPECT_EQ(this->placer.endpoints, (std::vector<std::string>{"slow"}));
+}
+
+TEST_F(JobCoordinatorTest, WaitingTaskKeepsFreeCapacityOfItsEndpoint) {
+  this->Offer({MakeCandidate("fast", 0.6, 500)});
+  this->Submit("00000000000000a1", milliseconds(1'000));
+  this->Submit("00000000000000b2", milliseconds(100));
+  EXPECT_TRUE(this->placer.placed.empty());
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
