--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -399,9 +399,10 @@
     const base::TimePoint now = this->clock.Now();
     if (CanEndInTime(task.placed_at + expected - now, job.deadline - now))
       return;
-    if (!CanMeetDeadline(candidates, requirements))
+    if (!CanMeetDeadline(candidates, requirements)) {
       this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
-    return;
+      return;
+    }
   }
   if (!stuck) {
     job.nominal_run_time = nominal_run_time;
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -146,6 +146,26 @@
   EXPECT_EQ(this->placer.stops, 0);
 }
 
+// A run that could not end in time kept its slow endpoint when no faster one
+// was free at that moment, and its job ended at the deadline.
+TEST_F(JobCoordinatorTest, RunThatCannotEndInTimeWaitsForFasterEndpoint) {
+  this->Offer(
+      {MakeCandidate("slow", 1.5, 2'000), MakeCandidate("fast", 0.6, 0)});
+  this->Submit("0123456789abcdef", milliseconds(600));
+  ASSERT_EQ(this->placer.endpoints, (std::vector<std::string>{"slow"}));
+  this->clock.Advance(milliseconds(160));
+  this->placer.placed[0].on_overdue(milliseconds(2'250));
+  EXPECT_EQ(this->placer.stops, 1);
+  EXPECT_TRUE(this->answers.empty());
+  this->placer.placed[0].on_end(RunOutcome::kStopped);
+  this->clock.Advance(milliseconds(1));
+  ASSERT_EQ(this->placer.placed.size(), 1U);
+  this->Offer(
+      {MakeCandidate("slow", 1.5, 2'000), MakeCandidate("fast", 0.6, 1'000)});
+  ASSERT_EQ(this->placer.placed.size(), 2U);
+  EXPECT_EQ(this->placer.endpoints[1], "fast");
+}
+
 // A long task that waited for a fast endpoint blocked all later jobs, also
 // where they could use endpoints that are too slow for it.
 TEST_F(JobCoordinatorTest, ShortTaskUsesEndpointThatIsTooSlowForWaitingTask) {
