--- a/src/libs/dispatch/admission_controller.cc
+++ b/src/libs/dispatch/admission_controller.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "dispatch/deadline_check.h"
+
 namespace hawthornwheel::dispatch {
 namespace {
 
@@ -164,7 +166,7 @@
       this->ExpectedWait(load, UrgencyOf(request),
                          static_cast<std::uint32_t>(request.tasks_size()));
   const base::Duration timeout = milliseconds(request.timeout_ms());
-  if (wait <= timeout) return std::nullopt;
+  if (wait <= timeout) return CheckRunTime(request, load, timeout - wait);
   Error error(ErrorKind::kDeadlineUnreachable,
               fmt::format("the expected wait is {} ms", wait / milliseconds(1)),
               "timeout_ms");
@@ -173,6 +175,29 @@
   return error;
 }
 
+std::optional<Error> AdmissionController::CheckRunTime(
+    const wire::SubmitRequest& request, const ServiceLoad& load,
+    base::Duration left) {
+  if (load.pool.empty()) return std::nullopt;
+  base::Duration longest{0};
+  for (const wire::TaskSpec& task : request.tasks()) {
+    longest =
+        std::max<base::Duration>(longest, milliseconds(task.run_time_ms()));
+  }
+  const bool can_end =
+      std::any_of(load.pool.begin(), load.pool.end(),
+                  [&load, longest, left](const EndpointState* endpoint) {
+                    return CanEndInTime(load, longest, *endpoint, left);
+                  });
+  if (can_end) return std::nullopt;
+  return Error(
+      ErrorKind::kDeadlineUnreachable,
+      fmt::format("the expected run time is {} ms, {} ms would be left",
+                  load.run_time.Expect(longest) / milliseconds(1),
+                  left / milliseconds(1)),
+      "timeout_ms");
+}
+
 base::Duration AdmissionController::ExpectedWait(const ServiceLoad& load,
                                                  fleet::Urgency urgency,
                                                  std::uint32_t tasks) const {
--- a/src/libs/dispatch/admission_controller.h
+++ b/src/libs/dispatch/admission_controller.h
@@ -54,6 +54,11 @@
       const fleet::ServiceConfig& service) const;
   std::optional<base::Error> CheckWait(const wire::SubmitRequest& request,
                                        const ServiceLoad& load) const;
+  /// Checks whether the longest task may end at one of the endpoints in the
+  /// time that is `left` after the expected wait.
+  static std::optional<base::Error> CheckRunTime(
+      const wire::SubmitRequest& request, const ServiceLoad& load,
+      base::Duration left);
   bool OrganisationExists(const std::string& organisation) const;
 
   base::Clock& clock;
--- a/src/libs/dispatch/routing_controller.cc
+++ b/src/libs/dispatch/routing_controller.cc
@@ -5,13 +5,11 @@
 
 #include "base/metrics.h"
 #include "dispatch/attempt_controller.h"
+#include "dispatch/deadline_check.h"
 
 namespace hawthornwheel::dispatch {
 namespace {
 
-// Minimum share of the expected run time that must be left until the deadline
-// when a task starts. It is below 1, because learned run times vary.
-constexpr double kMinDeadlineShare = 0.5;
 constexpr double kMinCostMicroseconds = 1000;
 
 }  // namespace
@@ -59,17 +57,17 @@
   // The clock is read again for each task, because the process may have been
   // paused and the deadline and the leases must be checked at the current time.
   const base::TimePoint now = this->clock.Now();
+  if (this->EndpointsInTime(job, job.tasks[job.queued.back()], now).empty()) {
+    this->metrics.Count("routing.deadline_out_of_reach");
+    this->expiry_listener(id);
+    return true;
+  }
   const Choice choice = this->Choose(job, now);
   if (choice.endpoint == nullptr) {
     this->deferred.insert(job.service->name);
     return true;
   }
   const std::uint32_t index = job.queued[choice.position];
-  if (!this->CanMakeDeadline(job, job.tasks[index], *choice.endpoint, now)) {
-    this->metrics.Count("routing.deadline_out_of_reach");
-    this->expiry_listener(id);
-    return true;
-  }
   job.queued.erase(job.queued.begin() +
                    static_cast<std::ptrdiff_t>(choice.position));
   CountStarted(this->board.services[job.service->name], job.urgency, now);
@@ -94,7 +92,9 @@
 EndpointState* RoutingController::SelectFor(const Job& job, const Task& task,
                                             base::TimePoint now) {
   const ServiceLoad& load = this->board.services[job.service->name];
-  return this->selector.Select({load.pool, now,
+  const std::vector<EndpointState*> in_time =
+      this->EndpointsInTime(job, task, now);
+  return this->selector.Select({in_time, now,
                                 load.run_time.Expect(task.declared_run_time),
                                 load.run_time.Mean(), load.queued_tasks});
 }
@@ -118,18 +118,19 @@
   return !found->second->ended && !found->second->queued.empty();
 }
 
-bool RoutingController::CanMakeDeadline(const Job& job, const Task& task,
-                                        const EndpointState& endpoint,
-                                        base::TimePoint now) const {
-  const base::Duration left = job.deadline - now;
-  if (left <= base::Duration{0}) return false;
-  const RunTimeEstimator& run_time =
-      this->board.services.at(job.service->name).run_time;
-  if (run_time.Mean().count() == 0) return true;
-  const auto expected =
-      static_cast<double>(run_time.Expect(task.declared_run_time).count());
-  return static_cast<double>(left.count()) >=
-         kMinDeadlineShare * expected * endpoint.slowness;
+std::vector<EndpointState*> RoutingController::EndpointsInTime(
+    const Job& job, const Task& task, base::TimePoint now) const {
+  const ServiceLoad& load = this->board.services.at(job.service->name);
+  std::vector<EndpointState*> in_time;
+  for (EndpointState* endpoint : load.pool) {
+    const bool available =
+        !endpoint->leaving && endpoint->health != EndpointHealth::kQuarantined;
+    if (available && CanEndInTime(load, task.declared_run_time, *endpoint,
+                                  job.deadline - now)) {
+      in_time.push_back(endpoint);
+    }
+  }
+  return in_time;
 }
 
 double RoutingController::CostOf(const Job& job, const Task& task) const {
--- a/src/libs/dispatch/routing_controller.h
+++ b/src/libs/dispatch/routing_controller.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "dispatch/dispatch_board.h"
@@ -53,9 +54,9 @@
   bool StartOne();
   bool IsEligible(const std::string& service) const;
   bool HasQueuedTasks(JobId id) const;
-  bool CanMakeDeadline(const Job& job, const Task& task,
-                       const EndpointState& endpoint,
-                       base::TimePoint now) const;
+  /// Returns the endpoints, free or busy, at which the task may end in time.
+  std::vector<EndpointState*> EndpointsInTime(const Job& job, const Task& task,
+                                              base::TimePoint now) const;
   double CostOf(const Job& job, const Task& task) const;
 
   base::Clock& clock;
--- a/tests/dispatch/job_rules_test.cc
+++ b/tests/dispatch/job_rules_test.cc
@@ -202,6 +202,44 @@
   EXPECT_EQ(late->failure().execution(), wire::NOT_RUN);
 }
 
+// A job whose tasks cannot end in time was kept until an endpoint was free or
+// its deadline had passed.
+TEST_F(JobRulesTest, JobThatCannotEndInTimeIsRefusedAtOnce) {
+  for (int i = 0; i < 10; ++i) {
+    this->fleet.Submit("a", 4, milliseconds(500), seconds(5));
+    this->fleet.Run(seconds(1));
+  }
+  this->fleet.Submit("a", 4, milliseconds(500), seconds(5));
+  const auto late =
+      this->fleet.Submit("a", 1, milliseconds(500), milliseconds(100));
+  EXPECT_EQ(late->failure().kind(), "deadline_unreachable");
+  EXPECT_EQ(late->failure().execution(), wire::NOT_RUN);
+}
+
+// A job failed when the free endpoint was too slow for its deadline, although a
+// faster one was free shortly afterwards.
+TEST(JobRouting, TaskWaitsForEndpointThatMeetsItsDeadline) {
+  base::SetLogLevel(base::LogLevel::kError);
+  SmallFleet fleet;
+  fleet.dispatch_settings.routing = "least_loaded";
+  fleet.AddEndpoint("10.0.0.1:80", "north");
+  fleet.AddEndpoint("10.0.0.2:80", "north", 10);
+  fleet.Publish("slots = 1\n[timeouts]\nlease = 1s\n");
+  fleet.AddProcess("a", "north");
+  fleet.Run(seconds(2));
+  for (int i = 0; i < 60; ++i) {
+    fleet.Submit("a", 2, milliseconds(100), seconds(30));
+    fleet.Run(milliseconds(1'100));
+  }
+  // The fast endpoint is busy, the slow one is free.
+  fleet.Submit("a", 1, milliseconds(100), seconds(30));
+  fleet.Run(milliseconds(10));
+  const auto answer =
+      fleet.Submit("a", 1, milliseconds(100), milliseconds(400));
+  fleet.Run(milliseconds(390));
+  EXPECT_EQ(answer->state(), wire::COMPLETE);
+}
+
 TEST_F(JobRulesTest, ExpiredKeyIsRefusedAndNotRunAgain) {
   this->fleet.dispatch_settings.epoch_length = seconds(5);
   this->fleet.dispatch_settings.remembered_epochs = 2;
