--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -15,20 +15,36 @@
 constexpr base::Duration kMinFaultDuration = milliseconds(200);
 constexpr base::Duration kMaxFaultDuration = milliseconds(4'000);
 constexpr base::Duration kProcessCheckInterval = milliseconds(100);
+// Time between two series, and between the steps of one.
+constexpr base::Duration kMinSeriesInterval = milliseconds(1'000);
+constexpr base::Duration kMaxSeriesInterval = milliseconds(4'000);
+constexpr base::Duration kMinStepInterval = milliseconds(2);
+constexpr base::Duration kMaxStepInterval = milliseconds(300);
+constexpr std::uint64_t kMinSeriesSteps = 3;
+constexpr std::uint64_t kMaxSeriesSteps = 8;
 // Wall clocks of processes are ahead or behind by up to this value.
 constexpr int kMaxWallOffsetMs = 5'000;
 
+int RandomWallOffset(testing::Random& random) {
+  return static_cast<int>(random.Below(2 * kMaxWallOffsetMs)) -
+         kMaxWallOffsetMs;
+}
+
 }  // namespace
 
 FaultPlan::FaultPlan(SoakEnvironment& environment)
     : environment(environment),
       timer(environment.clock),
+      series_random(environment.options.seed),
+      series_timer(environment.clock),
       process_check_timer(environment.clock) {}
 
 void FaultPlan::Start() {
   this->process_check_timer.StartPeriodic(kProcessCheckInterval,
                                           [this] { this->CheckProcesses(); });
-  if (this->environment.options.faults) this->ScheduleNext();
+  if (!this->environment.options.faults) return;
+  this->ScheduleNext();
+  this->ScheduleSeries();
 }
 
 void FaultPlan::RecordFault(const std::string& description) {
@@ -55,6 +71,76 @@
       });
 }
 
+void FaultPlan::ScheduleSeries() {
+  this->series_timer.StartOnce(
+      this->series_random.Between(kMinSeriesInterval, kMaxSeriesInterval),
+      [this] {
+        this->InjectSeries();
+        this->ScheduleSeries();
+      });
+}
+
+void FaultPlan::InjectSeries() {
+  const auto& members = this->environment.members;
+  const auto random_member = [this, &members]() -> SoakMember& {
+    return *members[this->series_random.Below(members.size())];
+  };
+  SoakMember& main_member = random_member();
+  const std::uint64_t steps =
+      kMinSeriesSteps +
+      this->series_random.Below(kMaxSeriesSteps - kMinSeriesSteps + 1);
+  base::Duration delay{0};
+  for (std::uint64_t i = 0; i < steps; ++i) {
+    SoakMember& member =
+        this->series_random.Chance(0.5) ? main_member : random_member();
+    this->environment.clock.StartTimer(
+        delay, [this, &member] { this->InjectSeriesStep(member); });
+    delay += this->series_random.Between(kMinStepInterval, kMaxStepInterval);
+  }
+}
+
+// Unlike a single fault, a step may hit a process that is paused or stopping.
+void FaultPlan::InjectSeriesStep(SoakMember& member) {
+  if (!this->active || !member.process->IsRunning()) return;
+  switch (this->series_random.Below(6)) {
+    case 0:
+    case 1:
+      this->RecordFault("series: reload " + member.name);
+      member.wall_offset_ms = RandomWallOffset(this->series_random);
+      this->environment.WriteSettings(member);
+      member.process->Signal(SIGHUP);
+      return;
+    case 2:
+      this->RecordFault("series: stop " + member.name);
+      member.stopping = true;
+      member.process->Signal(SIGTERM);
+      return;
+    case 3:
+      this->RecordFault("series: kill " + member.name);
+      member.stopping = true;
+      member.process->Signal(SIGKILL);
+      return;
+    case 4:
+      this->RecordFault("series: pause " + member.name);
+      this->Pause(member, this->series_random.Between(kMinFaultDuration,
+                                                      kMaxFaultDuration));
+      return;
+    default:
+      this->RecordFault("series: publish");
+      this->environment.PublishConfiguration();
+      return;
+  }
+}
+
+void FaultPlan::Pause(SoakMember& member, base::Duration duration) {
+  member.paused = true;
+  member.process->Signal(SIGSTOP);
+  this->environment.clock.StartTimer(duration, [&member] {
+    if (member.paused) member.process->Signal(SIGCONT);
+    member.paused = false;
+  });
+}
+
 void FaultPlan::InjectFault() {
   SoakMember& member = this->RandomMember();
   switch (this->environment.random.Below(8)) {
@@ -86,9 +172,7 @@
       // CheckProcesses() restarts it.
       this->RecordFault("kill " + member.name);
       member.stopping = true;
-      member.wall_offset_ms = static_cast<int>(this->environment.random.Below(
-                                  2 * kMaxWallOffsetMs)) -
-                              kMaxWallOffsetMs;
+      member.wall_offset_ms = RandomWallOffset(this->environment.random);
       member.process->Signal(SIGKILL);
       return;
     case 2:
@@ -102,12 +186,7 @@
       return;
     default:
       this->RecordFault("pause " + member.name);
-      member.paused = true;
-      member.process->Signal(SIGSTOP);
-      this->environment.clock.StartTimer(this->RandomDuration(), [&member] {
-        if (member.paused) member.process->Signal(SIGCONT);
-        member.paused = false;
-      });
+      this->Pause(member, this->RandomDuration());
       return;
   }
 }
@@ -201,7 +280,9 @@
 }
 
 void FaultPlan::EndAllFaults() {
+  this->active = false;
   this->timer.Stop();
+  this->series_timer.Stop();
   this->environment.store.SetDown("", false);
   this->environment.leased_endpoints.SetFaults({});
   for (const auto& member : this->environment.members) {
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -4,6 +4,7 @@
 
 #include "base/timer.h"
 #include "soak/soak_environment.h"
+#include "support/random.h"
 
 namespace hawthornwheel::soak {
 
@@ -34,9 +35,15 @@
 
  private:
   void ScheduleNext();
+  void ScheduleSeries();
   void InjectFault();
   void InjectProcessFault(SoakMember& member);
   void InjectProxyFault(TcpProxy& proxy, const std::string& proxy_name);
+  /// Starts a series of signals and configuration changes that follow each
+  /// other within milliseconds, half of them to one process.
+  void InjectSeries();
+  void InjectSeriesStep(SoakMember& member);
+  void Pause(SoakMember& member, base::Duration duration);
   void InjectEndpointFault();
   void InjectStoreFault();
   void CheckProcesses();
@@ -47,6 +54,10 @@
 
   SoakEnvironment& environment;
   base::Timer timer;
+  /// Apart from the other faults, so that their order by seed stays as it was
+  /// when a seed was recorded.
+  testing::Random series_random;
+  base::Timer series_timer;
   base::Timer process_check_timer;
   bool active = true;
   std::uint64_t fault_count = 0;
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -40,6 +40,10 @@
   /// Writes the endpoint's catalog entry to the store.
   void WriteEndpointEntry(std::size_t endpoint, bool draining);
 
+  /// Writes the member's settings file; a running process reads it on SIGHUP or
+  /// within a second.
+  void WriteSettings(const SoakMember& member) const;
+
   /// Ends all runs of an endpoint and restarts it as a new incarnation.
   void RestartEndpoint(std::size_t endpoint);
 
@@ -65,7 +69,6 @@
  private:
   void AddEndpoint(int index);
   void AddMember(int index, double cpu_share);
-  void WriteSettings(const SoakMember& member) const;
 
   std::string store_address;
   int version = 0;
