--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -23,10 +23,13 @@
 // after a restart, so no outgoing connection may have taken them.
 constexpr int kFirstPort = 12'000;
 constexpr int kPortCount = 20'000;
+// Runs that are started one after the other use different ports, since a port
+// that is free now may belong to a process that another run restarts.
+constexpr int kPortsPerRun = 1'000;
 
 // Returns a port that is free now; consecutive calls return different ports.
 int FreePort() {
-  static int offset = getpid() % kPortCount;
+  static int offset = getpid() % (kPortCount / kPortsPerRun) * kPortsPerRun;
   while (true) {
     offset = (offset + 1) % kPortCount;
     const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
