--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -64,6 +64,13 @@
          !requirements.avoid->contains(std::string(candidate.endpoint));
 }
 
+// Tasks that need no resources are not started at endpoints without free CPU
+// either: their capacity may be unknown or reserved.
+bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements) {
+  return candidate.free.cpu_milli > 0 &&
+         requirements.resources.FitsInto(candidate.free);
+}
+
 // Returns the probability that a value stays below `ratio` times its estimate.
 // The logarithm of the value is normally distributed around that of the
 // estimate with the standard deviation `log_std_dev`.
@@ -134,7 +141,7 @@
   Candidate* best = nullptr;
   double best_score = 0;
   for (Candidate& candidate : candidates) {
-    if (!requirements.resources.FitsInto(candidate.free)) continue;
+    if (!HasRoom(candidate, requirements)) continue;
     if (!IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
     const double probability = DeadlineProbability(pace, requirements);
@@ -164,7 +171,7 @@
   const double min_probability = MinProbability(candidates, requirements);
   FreeRoom room;
   for (const Candidate& candidate : candidates) {
-    if (!requirements.resources.FitsInto(candidate.free)) continue;
+    if (!HasRoom(candidate, requirements)) continue;
     if (!IsAllowed(candidate, requirements)) continue;
     const std::int64_t tasks =
         requirements.resources.cpu_milli > 0
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -361,8 +361,8 @@
   if (!job.MayHaveRun()) this->ArmTimer(job);
 }
 
-// Stops an overdue run, so that its task restarts at another endpoint, when one
-// is free that is expected to meet the deadline.
+// Moves the task of an overdue run to another endpoint, or ends the job, when
+// the run has no chance to end in time where it is.
 void JobCoordinator::OnOverdue(Job& job, std::size_t index, std::uint64_t run,
                                base::Duration expected) {
   const std::string& id = job.request.id;
@@ -379,30 +379,20 @@
     requirements.estimate_log_std_dev = kMeasuredLogStdDev;
   }
   requirements.deadline -= kMoveTime;
-  std::set<std::string> avoid = task.avoid;
-  avoid.insert(task.placed_run.endpoint);
-  requirements.avoid = &avoid;
-  std::vector<Candidate> candidates = this->placer.Candidates();
-  const Candidate* better = ChooseEndpoint(candidates, requirements);
-  const bool in_time =
-      better != nullptr &&
-      Scale(requirements.estimate, PaceFor(*better, requirements)) <
-          requirements.deadline;
+  const base::TimePoint now = this->clock.Now();
+  const OverdueAction action = this->ActionFor(
+      task, requirements,
+      CanEndInTime(task.placed_at + expected - now, job.deadline - now));
   kLog.Info(
       "Task is overdue. job={} task={} run={} endpoint={} pace={:.2f} "
-      "expected_ms={} left_ms={} better_pace={:.2f} moves={}",
+      "expected_ms={} left_ms={} action={}",
       id, index, run, task.placed_run.endpoint, task.pace,
-      expected / milliseconds(1),
-      (job.deadline - this->clock.Now()) / milliseconds(1),
-      better == nullptr ? 0 : PaceFor(*better, requirements), in_time);
-  if (!in_time) {
-    const base::TimePoint now = this->clock.Now();
-    if (CanEndInTime(task.placed_at + expected - now, job.deadline - now))
-      return;
-    if (!CanMeetDeadline(candidates, requirements)) {
-      this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
-      return;
-    }
+      expected / milliseconds(1), (job.deadline - now) / milliseconds(1),
+      NameOf(action));
+  if (action == OverdueAction::kContinue) return;
+  if (action == OverdueAction::kEndJob) {
+    this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
+    return;
   }
   if (!stuck) {
     job.nominal_run_time = nominal_run_time;
@@ -414,6 +404,28 @@
   this->placer.Stop(task.placed_run);
 }
 
+// Decides about an overdue run. `requirements` are those of a new run of the
+// task at another endpoint; `may_end_here` tells whether the run may still end
+// in time.
+OverdueAction JobCoordinator::ActionFor(const Job::Task& task,
+                                        TaskRequirements requirements,
+                                        bool may_end_here) const {
+  std::set<std::string> avoid = task.avoid;
+  avoid.insert(task.placed_run.endpoint);
+  requirements.avoid = &avoid;
+  std::vector<Candidate> candidates = this->placer.Candidates();
+  const Candidate* better = ChooseEndpoint(candidates, requirements);
+  if (better != nullptr &&
+      Scale(requirements.estimate, PaceFor(*better, requirements)) <
+          requirements.deadline) {
+    return OverdueAction::kMove;
+  }
+  if (may_end_here) return OverdueAction::kContinue;
+  return CanMeetDeadline(candidates, requirements)
+             ? OverdueAction::kWaitForEndpoint
+             : OverdueAction::kEndJob;
+}
+
 void JobCoordinator::ArmTimer(Job& job) {
   const base::TimePoint due = job.MayHaveRun()
                                   ? job.deadline
--- a/tests/jobs/endpoint_choice_test.cc
+++ b/tests/jobs/endpoint_choice_test.cc
@@ -93,6 +93,11 @@
         IneligibleCase{
             "Cpu",
             [](Candidate& c, TaskRequirements&) { c.free.cpu_milli = 6'799; }},
+        IneligibleCase{"NoFreeCapacity",
+                       [](Candidate& c, TaskRequirements& n) {
+                         c.free = {};
+                         n.resources = {};
+                       }},
         IneligibleCase{
             "Memory",
             [](Candidate& c, TaskRequirements&) { c.free.memory_mb = 63; }},
