--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 
 namespace hawthornwheel::soak {
@@ -152,7 +153,9 @@
 }
 
 void SoakEnvironment::WriteSettings(const SoakMember& member) const {
-  std::ofstream file(member.settings_file);
+  // Renamed into place, since a process that starts may read it meanwhile.
+  const std::string new_file = member.settings_file + ".new";
+  std::ofstream file(new_file);
   file << "[process]\nplatform = hosted\nname = " << member.name
        << "\ndomain = " << member.domain << "\ncpu_share = " << member.cpu_share
        << "\ndrain_time = 6s\nwall_clock_offset_ms = " << member.wall_offset_ms
@@ -163,6 +166,8 @@
        << "\n[metrics]\naddress = " << member.metrics_address
        << "\n[platform]\naddress = " << member.store_address
        << "\n[runs]\nlease = 1000ms\nstop_time = 50ms\n";
+  file.close();
+  std::filesystem::rename(new_file, member.settings_file);
 }
 
 void SoakEnvironment::Launch(SoakMember& member) {
