--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -32,7 +32,7 @@
 // Minimum probability of meeting the deadline for a task to be started.
 constexpr double kMinDeadlineProbability = 0.1;
 // Minimum probability of meeting the deadline at an endpoint, as a share of the
-// probability at a fast one. Below it, the task waits for a faster endpoint.
+// probability at the fastest one. Below it, the task waits for a faster one.
 constexpr double kMinShareOfBestProbability = 0.3;
 
 double DistanceCost(Distance distance, int job_task_count) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -57,7 +57,8 @@
   base::Duration nominal_run_time{0};
   /// Whether `nominal_run_time` follows from the progress of a task.
   bool nominal_run_time_measured = false;
-  /// Placements that another process refused because the endpoint was full.
+  /// Placements that ended without a run, for example because the endpoint was
+  /// full by then.
   int refused_placements = 0;
   /// Tasks that wait for an endpoint.
   int waiting_tasks = 0;
