Cluster: remember the owners of endpoints; no heartbeats to unrelated entries

Cause: each heartbeat that changed anything scored every endpoint without a session against every member, twice, and the periodic check did so again: a cost of endpoints x members x heartbeats. Summaries of other domains list other endpoints each time, so nearly each heartbeat counted as a change. Besides, after a change of its role a coordinator sent a heartbeat per second to every entry of the other domains for good, because these answered only the first one.

Ruled out: a cheaper hash; the number of scores is what grows.

Change: EndpointOwners remembers the owner of each endpoint until the coordinators change (addresses, domains, weights), and scores only the endpoint's domain unless that has none. Roles are computed again only when a heartbeat changes one of their inputs. Summaries of other domains wait for the periodic check. An unrelated process answers again after a pause. Entries get no endpoints in heartbeats, which they do not use. A process that becomes a coordinator claims nothing until the others have told what they hold.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
+#include "cluster/coordinator.h"
 #include "cluster/held_endpoint.h"
 #include "wire/peer.pb.h"
 
@@ -56,6 +58,11 @@
   /// Whether this process is a coordinator, which holds endpoints; see
   /// RefreshRoles().
   bool is_coordinator = false;
+  /// The processes that may hold endpoints, with this process unless it is
+  /// leaving; see RefreshRoles().
+  std::vector<Coordinator> coordinators;
+  /// Number of changes of `coordinators`.
+  std::uint64_t coordinators_revision = 0;
   /// The other processes, by peer address.
   std::map<std::string, Member> members;
 
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -24,6 +24,8 @@
 // Heartbeats to a member stop when it has been unrelated for this time. It is
 // longer than any job, so that runs placed before have ended.
 constexpr base::Duration kUnrelatedTimeout = seconds(5);
+// Minimum pause between answers to an unrelated process.
+constexpr base::Duration kUnrelatedAnswerPause = milliseconds(500);
 // Time in which the members answer the first heartbeat of this process, and one
 // further heartbeat of each arrives.
 constexpr base::Duration kMembershipDiscoveryTime = milliseconds(250);
@@ -228,6 +230,7 @@
 // processes join and leave.
 void ClusterController::DropUnrelated() {
   const base::TimePoint now = this->parts.clock.Now();
+  bool dropped = false;
   for (auto& [address, member] : this->board.members) {
     const bool related =
         this->board.IsSameDomain(member) ||
@@ -239,8 +242,10 @@
       member.presumed_gone = true;
       member.unrelated = true;
       member.held.clear();
+      dropped = true;
     }
   }
+  if (dropped) this->UpdateRoles();
 }
 
 // Assigns the roles. When the role of this process changes, it sends heartbeats
@@ -250,6 +255,7 @@
   if (!RefreshRoles(this->board)) return;
   if (before != this->board.is_coordinator) {
     kLog.Info("Role has changed. coordinates={}", this->board.is_coordinator);
+    if (this->board.is_coordinator) this->AwaitHolders();
     for (auto& [address, member] : this->board.members) {
       member.unrelated = false;
     }
@@ -257,6 +263,14 @@
   this->parts.catalog.FollowEndpoints(this->board.is_coordinator);
 }
 
+// Claims wait until the coordinators have told this process, which has become
+// one of them, what they hold.
+void ClusterController::AwaitHolders() {
+  this->membership_unknown_until =
+      std::max(this->membership_unknown_until,
+               this->parts.clock.Now() + kMembershipDiscoveryTime);
+}
+
 void ClusterController::FindLost() {
   const base::TimePoint now = this->parts.clock.Now();
   bool changed = false;
@@ -267,6 +281,7 @@
     member.live = false;
     member.presumed_gone = !member.last.coordinates() && member.held.empty();
     changed = true;
+    this->parts.metrics.Count("cluster.lost");
     kLog.Warning("Member is lost. member={} incarnation={} silent_ms={}",
                  address, member.announce.incarnation(),
                  (now - member.last_heard) / milliseconds(1));
@@ -415,18 +430,29 @@
   if (same_process && heartbeat.steady_ms() < member.last.steady_ms()) return;
   const bool joined = !member.live || !same_process;
   bool changed = joined || heartbeat.leaving() != member.last.leaving();
+  const bool may_change_roles =
+      changed || heartbeat.coordinates() != member.last.coordinates() ||
+      heartbeat.member().weight() != member.announce.weight() ||
+      heartbeat.member().domain() != member.announce.domain();
   member.announce = heartbeat.member();
   member.last_heard = this->parts.clock.Now();
   for (const std::string& peer : heartbeat.peers()) this->AddMember(peer);
   if (!this->IsRelated(member, heartbeat)) {
-    // One answer is enough for the sender to see that it is unrelated to this
-    // process.
-    if (!same_process) this->sender.SendNow(address);
+    // The sender stops when it sees from an answer that it is unrelated to this
+    // process. Without the pause, two processes would answer each other's
+    // answers.
+    const base::Duration since_answer =
+        this->parts.clock.Now() - member.last_sent;
+    if (!same_process || since_answer >= kUnrelatedAnswerPause)
+      this->sender.SendNow(address);
     member.unrelated = true;
     return;
   }
   if (!same_process) member.held.clear();
-  changed = MergeHeld(heartbeat, member.held) || changed;
+  const bool holds_others = MergeHeld(heartbeat, member.held);
+  // A member of another domain reports different endpoints each time. Claims of
+  // endpoints there wait for the next periodic check.
+  if (holds_others && this->board.IsSameDomain(member)) changed = true;
   member.last = heartbeat;
   member.last.clear_held();
   member.last.clear_peers();
@@ -438,7 +464,7 @@
               heartbeat.member().incarnation(), heartbeat.member().domain());
   }
   const bool was_coordinator = member.is_coordinator;
-  this->UpdateRoles();
+  if (may_change_roles) this->UpdateRoles();
   changed = changed || was_coordinator != member.is_coordinator;
   if (joined) this->sender.SendNow(address);
   this->sync.RequestIfNewer(member, this->board.is_coordinator);
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -94,6 +94,7 @@
   void FillHeartbeat(wire::MemberHeartbeat& heartbeat) const;
   void UpdateRoles();
   void DropUnrelated();
+  void AwaitHolders();
   void FindLost();
   void FindGone();
   bool CanPresumeGone(const ClusterBoard::Member& member) const;
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -55,7 +55,9 @@
 
 HeartbeatSender::Detail HeartbeatSender::DetailFor(
     const ClusterBoard::Member& member) const {
-  return this->IsUpdateTarget(member) ? Detail::kAll : Detail::kSummary;
+  if (this->IsUpdateTarget(member)) return Detail::kAll;
+  return member.live && !member.is_coordinator ? Detail::kNone
+                                               : Detail::kSummary;
 }
 
 bool HeartbeatSender::IsUpdateTarget(const ClusterBoard::Member& member) const {
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -23,6 +23,8 @@
     /// Some held endpoints of the domain of this process with free resources,
     /// and all held endpoints of other domains.
     kSummary,
+    /// No endpoints: an entry hands over its jobs and places no tasks.
+    kNone,
   };
 
   /// Writes endpoints into a heartbeat.
--- a/src/libs/cluster/roles.cc
+++ b/src/libs/cluster/roles.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cluster/cluster_board.h"
 
@@ -19,6 +21,24 @@
   return member.live && !member.last.leaving();
 }
 
+Coordinator DescriptionOf(const wire::MemberAnnounce& announce) {
+  return {announce.peer_address(), announce.domain(), announce.weight()};
+}
+
+void RefreshCoordinators(ClusterBoard& board) {
+  std::vector<Coordinator> coordinators;
+  if (board.is_coordinator && !board.leaving) {
+    coordinators.push_back(DescriptionOf(board.self));
+  }
+  for (const auto& [address, member] : board.members) {
+    if (member.is_coordinator)
+      coordinators.push_back(DescriptionOf(member.announce));
+  }
+  if (coordinators == board.coordinators) return;
+  board.coordinators = std::move(coordinators);
+  ++board.coordinators_revision;
+}
+
 }  // namespace
 
 bool RefreshRoles(ClusterBoard& board) {
@@ -50,6 +70,7 @@
                                                  : member.last.coordinates();
     update(member.is_coordinator, IsCandidate(member) && role);
   }
+  RefreshCoordinators(board);
   return changed;
 }
 
--- a/src/libs/cluster/roles.h
+++ b/src/libs/cluster/roles.h
@@ -9,7 +9,8 @@
 /// of their domain are coordinators: they hold the endpoints and run the jobs
 /// of the domain. The other processes are entries, which hand over the jobs of
 /// their callers to a coordinator. When the processes with the highest weights
-/// are lost, those with the next highest weights become coordinators.
+/// are lost, those with the next highest weights become coordinators. Also
+/// updates `coordinators` of the board.
 bool RefreshRoles(ClusterBoard& board);
 
 }  // namespace hawthornwheel::cluster
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -8,7 +8,6 @@
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
 #include "cluster/cluster_controller.h"
-#include "cluster/ownership.h"
 
 namespace hawthornwheel::runs {
 namespace {
@@ -49,6 +48,7 @@
 
 EndpointPool::EndpointPool(const Parts& parts)
     : parts(parts),
+      owners(parts.cluster.Board()),
       tokens(parts.cluster.Board().self.incarnation()),
       reconcile_timer(parts.clock) {}
 
@@ -87,9 +87,9 @@
   this->ClaimEndpoints();
 }
 
-bool EndpointPool::ShouldHold(const catalog::EndpointEntry& entry) const {
-  const cluster::ClusterBoard& board = this->parts.cluster.Board();
-  return cluster::OwnerOf(entry, board) == board.self.peer_address();
+bool EndpointPool::ShouldHold(const catalog::EndpointEntry& entry) {
+  return this->owners.OwnerOf(entry) ==
+         this->parts.cluster.Board().self.peer_address();
 }
 
 void EndpointPool::ClaimEndpoints() {
@@ -105,7 +105,7 @@
       continue;
     if (endpoint.entry.draining || endpoint.missing) continue;
     if (!this->ShouldHold(endpoint.entry)) continue;
-    if (cluster::IsHeldByOther(endpoint.entry, board)) continue;
+    if (this->owners.IsHeldByOther(endpoint.entry)) continue;
     const EndpointSession::Parts session_parts{
         this->parts.clock, this->parts.orders, this->parts.metrics,
         this->parts.settings, this->tokens};
@@ -165,6 +165,8 @@
     case cluster::HeartbeatSender::Detail::kSummary:
       this->WriteSummary(heartbeat);
       return;
+    case cluster::HeartbeatSender::Detail::kNone:
+      return;
   }
 }
 
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/timer.h"
+#include "cluster/endpoint_owners.h"
 #include "cluster/heartbeat_sender.h"
 #include "runs/endpoint_session.h"
 
@@ -62,7 +63,7 @@
   void Reconcile();
 
  private:
-  bool ShouldHold(const catalog::EndpointEntry& entry) const;
+  bool ShouldHold(const catalog::EndpointEntry& entry);
   void ClaimEndpoints();
   void ReleaseEndpoints();
   void WriteHeld(wire::MemberHeartbeat& heartbeat,
@@ -72,6 +73,7 @@
   void MarkChanged(const std::string& endpoint);
 
   Parts parts;
+  cluster::EndpointOwners owners;
   FencingTokenGenerator tokens;
   std::map<std::string, std::unique_ptr<EndpointSession>> sessions;
   /// Times from which endpoints that were fenced off may be claimed again, by
