HTTP server: limits for connections; requests are freed; one source for closes

Cause, three faults in one place: - A client that sent half of a header kept its connection for good (40 s measured by the users), and the number of connections was not limited. - An answered request was never freed: its message owned the exchange through a signal handler, and the exchange a reference to the message.

Change: ConnectionGuard applies `max_connections`, `header_timeout`, `body_timeout` and `idle_timeout` of [callers]; the signal handler is removed when a request ends; CloseWatcher watches all connections with one epoll descriptor.

--- a/src/libs/callers/caller_front.cc
+++ b/src/libs/callers/caller_front.cc
@@ -67,11 +67,12 @@
                      kMinBodyBytes, kMaxBodyBytes));
   settings.max_wait = reader.Time("callers", "max_wait", settings.max_wait,
                                   milliseconds(100), minutes(10));
+  settings.connections = http::ConnectionLimits::Read(reader, "callers");
   return settings;
 }
 
-CallerFront::CallerFront(dispatch::JobService& jobs, base::Metrics& metrics,
-                         const CallerSettings& settings)
+CallerFront::CallerFront(base::Clock& clock, dispatch::JobService& jobs,
+                         base::Metrics& metrics, const CallerSettings& settings)
     : jobs(jobs),
       metrics(metrics),
       settings(settings),
@@ -85,7 +86,9 @@
              [this](const HttpRequest& request,
                     const HttpServer::Responder& respond) {
                this->Handle(request, respond);
-             }) {}
+             }) {
+  this->server.LimitConnections(clock, settings.connections);
+}
 
 base::Result<std::uint16_t> CallerFront::Listen() {
   return this->server.Listen(this->settings.address);
--- a/src/libs/callers/caller_front.h
+++ b/src/libs/callers/caller_front.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "http/connection_limits.h"
 #include "http/http_server.h"
 
 namespace hawthornwheel::base {
@@ -27,6 +28,7 @@
   std::size_t max_body_bytes = 8U << 20;
   /// Maximum time that a request waits for the end of its job.
   base::Duration max_wait{60'000'000};
+  http::ConnectionLimits connections;
 };
 
 /// Serves the HTTP interface for callers and the load balancer:
@@ -44,8 +46,8 @@
 class CallerFront {
  public:
   /// All references must outlive the front.
-  CallerFront(dispatch::JobService& jobs, base::Metrics& metrics,
-              const CallerSettings& settings);
+  CallerFront(base::Clock& clock, dispatch::JobService& jobs,
+              base::Metrics& metrics, const CallerSettings& settings);
 
   /// Listens on the address of the settings and returns the port.
   base::Result<std::uint16_t> Listen();
--- /dev/null
+++ b/src/libs/http/close_watcher.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+// NOLINTNEXTLINE(readability-identifier-naming): declared by GLib
+typedef struct _GSocket GSocket;  // NOLINT(modernize-use-using)
+
+namespace hawthornwheel::http {
+
+/// Reports connections that the peer closes while a request is being handled,
+/// which libsoup does not check. Uses one source of the main loop for all of
+/// them, because GLib visits each source in each iteration.
+class CloseWatcher {
+ public:
+  CloseWatcher();
+  ~CloseWatcher();
+
+  /// Calls `callback` once when the peer closes the connection. Stops watching
+  /// when the peer sends data, which is its next request.
+  void Watch(GSocket* socket, std::function<void()> callback);
+
+  /// Stops watching; does nothing for a socket that is not watched.
+  void Stop(GSocket* socket);
+
+ private:
+  class Private;
+  std::unique_ptr<Private> d;
+};
+
+}  // namespace hawthornwheel::http
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -1,14 +1,15 @@
 #include "http/http_server.h"
 
 #include <libsoup/soup.h>
-#include <sys/socket.h>
 
-#include <cerrno>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "base/address.h"
+#include "http/close_watcher.h"
+#include "http/connection_guard.h"
+#include "http/peer_state.h"
 
 namespace hawthornwheel::http {
 namespace {
@@ -16,29 +17,16 @@
 using base::Error;
 using base::ErrorKind;
 
-// State of the peer of a connection since its last request was read: no data,
-// more data to read, or connection closed.
-enum class PeerState { kIdle, kSending, kClosed };
-
-// Returns the state of a connection's peer without consuming data.
-PeerState PeerStateOf(GSocket* socket) {
-  char byte = 0;
-  const auto size =
-      recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (size > 0) return PeerState::kSending;
-  if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
-    return PeerState::kIdle;
-  }
-  return PeerState::kClosed;
-}
-
 // Holds the libsoup message of a request until it has been answered. Keeps the
 // message alive even if the client closes the connection.
 class Exchange {
  public:
   Exchange(SoupServerMessage* message,
-           std::shared_ptr<std::size_t> open_requests)
-      : message(message), open_requests(std::move(open_requests)) {
+           std::shared_ptr<std::size_t> open_requests,
+           std::shared_ptr<CloseWatcher> watcher)
+      : message(message),
+        open_requests(std::move(open_requests)),
+        watcher(std::move(watcher)) {
     g_object_ref(message);
     ++*this->open_requests;
   }
@@ -78,39 +66,22 @@
     this->StopWatching();
   }
 
-  // Calls `callback` if the client closes the connection. libsoup does not
-  // check the connection while a message is paused.
+  // Calls `callback` if the client closes the connection.
   void Watch(std::function<void()> callback) {
     if (this->answered || this->finished) return;
     GSocket* socket = soup_server_message_get_socket(this->message);
     if (socket == nullptr) return;
-    this->on_closed = std::move(callback);
-    this->close_watch = g_socket_create_source(
-        socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR),
-        nullptr);
-    g_source_set_callback(this->close_watch, G_SOURCE_FUNC(OnSocketEvent), this,
-                          nullptr);
-    g_source_attach(this->close_watch, nullptr);
+    this->StopWatching();
+    this->watched = G_SOCKET(g_object_ref(socket));
+    this->watcher->Watch(socket, std::move(callback));
   }
 
  private:
-  static gboolean OnSocketEvent(GSocket* socket, GIOCondition, gpointer data) {
-    auto* self = static_cast<Exchange*>(data);
-    const PeerState peer = PeerStateOf(socket);
-    if (peer == PeerState::kIdle) return G_SOURCE_CONTINUE;
-    const std::function<void()> callback = std::move(self->on_closed);
-    self->StopWatching();
-    // Further data is the next request of a client that uses pipelining.
-    if (peer == PeerState::kClosed && callback) callback();
-    return G_SOURCE_REMOVE;
-  }
-
   void StopWatching() {
-    if (this->close_watch == nullptr) return;
-    g_source_destroy(this->close_watch);
-    g_source_unref(this->close_watch);
-    this->close_watch = nullptr;
-    this->on_closed = nullptr;
+    if (this->watched == nullptr) return;
+    this->watcher->Stop(this->watched);
+    g_object_unref(this->watched);
+    this->watched = nullptr;
   }
 
   SoupServerMessage* message;
@@ -118,14 +89,19 @@
   bool answered = false;
   bool paused = false;
   bool finished = false;
-  GSource* close_watch = nullptr;
-  std::function<void()> on_closed;
+  std::shared_ptr<CloseWatcher> watcher;
+  /// Socket that is watched; null for none.
+  GSocket* watched = nullptr;
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
 
-void OnFinished(SoupServerMessage*, gpointer data) {
+// The message owns the pointer and the exchange owns a reference to the
+// message, so the handler is removed to free both.
+void OnFinished(SoupServerMessage* message, gpointer data) {
   (*static_cast<ExchangePointer*>(data))->MarkFinished();
+  g_signal_handlers_disconnect_by_func(
+      message, reinterpret_cast<gpointer>(&OnFinished), data);
 }
 
 void DeleteExchange(gpointer data, GClosure*) {
@@ -190,13 +166,14 @@
     // pause, a process may receive requests whose clients have timed out and
     // may have resent them to another process.
     GSocket* socket = soup_server_message_get_socket(message);
-    if (socket != nullptr && PeerStateOf(socket) == PeerState::kClosed) {
+    if (socket != nullptr &&
+        PeerStateOf(g_socket_get_fd(socket)) == PeerState::kClosed) {
       soup_server_message_set_status(message, SOUP_STATUS_SERVICE_UNAVAILABLE,
                                      nullptr);
       return;
     }
     const auto exchange =
-        std::make_shared<Exchange>(message, self->open_requests);
+        std::make_shared<Exchange>(message, self->open_requests, self->watcher);
     g_signal_connect_data(message, "finished", G_CALLBACK(OnFinished),
                           new ExchangePointer(exchange), DeleteExchange,
                           GConnectFlags{});
@@ -215,6 +192,8 @@
   std::string too_large_body;
   Handler handler;
   SoupServer* server = nullptr;
+  std::unique_ptr<ConnectionGuard> guard;
+  std::shared_ptr<CloseWatcher> watcher = std::make_shared<CloseWatcher>();
   std::shared_ptr<std::size_t> open_requests = std::make_shared<std::size_t>(0);
 };
 
@@ -232,10 +211,17 @@
 }
 
 HttpServer::~HttpServer() {
+  this->d->guard.reset();
   soup_server_disconnect(this->d->server);
   g_object_unref(this->d->server);
 }
 
+void HttpServer::LimitConnections(base::Clock& clock,
+                                  const ConnectionLimits& limits) {
+  this->d->guard =
+      std::make_unique<ConnectionGuard>(clock, limits, this->d->server);
+}
+
 base::Result<std::uint16_t> HttpServer::Listen(const std::string& address) {
   const auto parsed = base::ParseAddress(address);
   if (!parsed) {
@@ -270,4 +256,8 @@
 
 std::size_t HttpServer::OpenRequests() const { return *this->d->open_requests; }
 
+std::size_t HttpServer::ConnectionCount() const {
+  return this->d->guard == nullptr ? 0 : this->d->guard->ConnectionCount();
+}
+
 }  // namespace hawthornwheel::http
--- a/src/libs/http/http_server.h
+++ b/src/libs/http/http_server.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "http/connection_limits.h"
 #include "http/http_request.h"
 
 namespace hawthornwheel::http {
@@ -26,6 +27,10 @@
              Handler handler);
   ~HttpServer();
 
+  /// Applies `limits` to the connections from now on. `clock` must outlive the
+  /// server.
+  void LimitConnections(base::Clock& clock, const ConnectionLimits& limits);
+
   /// Listens on `IP:port` and returns the port. The kernel chooses a port if it
   /// is 0. Returns kInvalidSettings if the address is invalid or cannot be
   /// bound.
@@ -37,6 +42,9 @@
   /// Returns the number of requests that have not been answered yet.
   std::size_t OpenRequests() const;
 
+  /// Returns the number of open connections; 0 without limits.
+  std::size_t ConnectionCount() const;
+
  private:
   class Private;
   std::unique_ptr<Private> d;
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -81,7 +81,8 @@
   this->d->dispatcher = std::make_unique<dispatch::Dispatcher>(
       dependencies, self, this->d->settings.fleet, this->d->settings.dispatch);
   this->d->callers = std::make_unique<callers::CallerFront>(
-      this->d->dispatcher->Jobs(), this->d->metrics, this->d->settings.callers);
+      this->d->clock, this->d->dispatcher->Jobs(), this->d->metrics,
+      this->d->settings.callers);
   const auto caller_port = this->d->callers->Listen();
   if (!caller_port) return caller_port.GetError();
   this->d->admin = std::make_unique<admin::AdminFront>(
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -183,6 +183,8 @@
   const auto peers = this->d->transport.Bind(this->d->settings.peer_address);
   if (!peers) return peers.GetError();
   this->d->RegisterListeners();
+  this->d->front.LimitConnections(this->d->clock,
+                                  this->d->settings.caller_connections);
   const auto front_ports = this->d->front.Listen(
       this->d->settings.caller_address, this->d->settings.ready_address);
   if (!front_ports) return front_ports.GetError();
--- a/src/libs/node/platform_node_settings.cc
+++ b/src/libs/node/platform_node_settings.cc
@@ -57,6 +57,7 @@
   }
   settings.caller_address =
       reader.Address("callers", "address", Presence::kRequired, true);
+  settings.caller_connections = http::ConnectionLimits::Read(reader, "callers");
   settings.ready_address =
       reader.Address("ready", "address", Presence::kRequired, true);
   settings.metrics_address =
--- a/src/libs/node/platform_node_settings.h
+++ b/src/libs/node/platform_node_settings.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/ini_file.h"
+#include "http/connection_limits.h"
 #include "jobs/job_settings.h"
 #include "runs/run_settings.h"
 
@@ -37,6 +38,7 @@
   std::string advertised_address;
   /// `IP:port` for callers.
   std::string caller_address;
+  http::ConnectionLimits caller_connections;
   /// `IP:port` for readiness checks of the platform's load balancer.
   std::string ready_address;
   /// `IP:port` for metrics and state dumps; empty for none.
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -6,8 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <string>
+#include <vector>
 
+#include "base/glib_clock.h"
 #include "support/loop.h"
 
 namespace hawthornwheel::testing {
@@ -30,26 +33,62 @@
   // client's socket. The main loop is not running meanwhile, which simulates a
   // paused process.
   int SendRequest() {
-    const auto port = this->server.Listen("127.0.0.1:0");
-    EXPECT_TRUE(port.HasValue());
+    this->Listen();
+    const int client = this->Connect();
+    Write(client, kRequest);
+    return client;
+  }
+
+  void Listen() {
+    const auto bound = this->server.Listen("127.0.0.1:0");
+    EXPECT_TRUE(bound.HasValue());
+    this->port = *bound;
+  }
+
+  int Connect() const {
     const int client = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(*port);
+    address.sin_port = htons(this->port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     EXPECT_EQ(connect(client, reinterpret_cast<const sockaddr*>(&address),
                       sizeof(address)),
               0);
-    const std::string request = kRequest;
-    EXPECT_EQ(send(client, request.data(), request.size(), 0),
-              static_cast<ssize_t>(request.size()));
     return client;
   }
 
+  static void Write(int client, const std::string& text) {
+    EXPECT_EQ(send(client, text.data(), text.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(text.size()));
+  }
+
+  // Returns whether the server has closed the connection.
+  static bool IsClosed(int client) {
+    char byte = 0;
+    return recv(client, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   int handled = 0;
+  std::uint16_t port = 0;
+  base::GlibClock clock;
   http::HttpServer server;
 };
 
+class ConnectionLimitsTest : public HttpServerTest {
+ protected:
+  ConnectionLimitsTest() {
+    http::ConnectionLimits limits;
+    limits.max_connections = kMaxConnections;
+    limits.header_timeout = std::chrono::milliseconds(200);
+    limits.body_timeout = std::chrono::milliseconds(200);
+    limits.idle_timeout = std::chrono::milliseconds(600);
+    this->server.LimitConnections(this->clock, limits);
+    this->Listen();
+  }
+
+  static constexpr std::size_t kMaxConnections = 20;
+};
+
 TEST_F(HttpServerTest, RequestOfConnectedClientIsHandled) {
   const int client = this->SendRequest();
   EXPECT_TRUE(RunLoopUntil([this] { return this->handled == 1; }));
@@ -79,5 +118,90 @@
   EXPECT_EQ(this->handled, 1);
 }
 
+// Guards against connections with half of a request that stay open forever.
+TEST_F(ConnectionLimitsTest, ConnectionWithIncompleteHeadersIsClosed) {
+  const int client = this->Connect();
+  Write(client, "POST /a HTTP/1.1\r\nHost: h");
+  RunLoopFor(500);
+  EXPECT_TRUE(IsClosed(client));
+  EXPECT_EQ(this->server.ConnectionCount(), 0U);
+  close(client);
+}
+
+TEST_F(ConnectionLimitsTest, SlowlySentHeadersDoNotExtendTheTimeout) {
+  const int client = this->Connect();
+  for (int i = 0; i < 10 && !IsClosed(client); ++i) {
+    send(client, "x", 1, MSG_NOSIGNAL);
+    RunLoopFor(60);
+  }
+  EXPECT_TRUE(IsClosed(client));
+  close(client);
+}
+
+TEST_F(ConnectionLimitsTest, ConnectionWithIncompleteBodyIsClosed) {
+  const int client = this->Connect();
+  Write(client, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{");
+  RunLoopFor(500);
+  EXPECT_TRUE(IsClosed(client));
+  EXPECT_EQ(this->handled, 0);
+  close(client);
+}
+
+TEST_F(ConnectionLimitsTest, IdleConnectionIsClosedLater) {
+  const int client = this->Connect();
+  RunLoopFor(400);
+  EXPECT_FALSE(IsClosed(client));
+  RunLoopFor(500);
+  EXPECT_TRUE(IsClosed(client));
+  close(client);
+}
+
+TEST_F(ConnectionLimitsTest, KeptConnectionServesRequestsBeyondTheTimeouts) {
+  const int client = this->Connect();
+  for (int i = 1; i <= 5; ++i) {
+    Write(client, kRequest);
+    ASSERT_TRUE(RunLoopUntil([this, i] { return this->handled == i; }));
+    RunLoopFor(250);
+  }
+  EXPECT_EQ(this->server.ConnectionCount(), 1U);
+  close(client);
+}
+
+TEST_F(ConnectionLimitsTest, ConnectionsBeyondTheMaximumAreClosed) {
+  std::vector<int> clients;
+  for (std::size_t i = 0; i < kMaxConnections + 5; ++i) {
+    clients.push_back(this->Connect());
+    RunLoopFor(5);
+  }
+  EXPECT_EQ(this->server.ConnectionCount(), kMaxConnections);
+  for (const int client : clients) close(client);
+  RunLoopFor(100);
+  EXPECT_EQ(this->server.ConnectionCount(), 0U);
+  // The places of closed connections are free again.
+  const int client = this->Connect();
+  Write(client, kRequest);
+  EXPECT_TRUE(RunLoopUntil([this] { return this->handled == 1; }));
+  close(client);
+}
+
+// Load pattern: thousands of clients send half of a request.
+TEST_F(ConnectionLimitsTest, HalfSentRequestsLeaveTheServerUsable) {
+  for (int round = 0; round < 20; ++round) {
+    std::vector<int> clients;
+    for (int i = 0; i < 100; ++i) {
+      clients.push_back(this->Connect());
+      send(clients.back(), "GET / HTTP", 10, MSG_NOSIGNAL);
+      RunLoopFor(1);
+    }
+    EXPECT_LE(this->server.ConnectionCount(), kMaxConnections);
+    for (const int client : clients) close(client);
+  }
+  RunLoopFor(400);
+  const int client = this->Connect();
+  Write(client, kRequest);
+  EXPECT_TRUE(RunLoopUntil([this] { return this->handled == 1; }));
+  close(client);
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
