Own interface: tell the caller soon that the home of its key is gone

Cause: a process that got a key of a killed home forwarded it to the dead address and waited for the whole time of the caller (no answer in 20 s, measured by the users). Requests in flight failed only when a member of the same domain was lost; later ones and those to other domains did not.

Ruled out: the loss of the message alone; the member stays known for two minutes.

Change: while a call waits for its home, the home is asked for the state of the job every second, with a timeout of one second; a home without an answer is reported as home_unreachable, "may have run". A member whose heartbeats have timed out is reported at once. The probe is the existing query, so older processes answer it.

Test: lost_home_test, in both domains; the three cases of a lost home failed first (no answer).

--- a/src/libs/dispatch/forwarding_job_service.h
+++ b/src/libs/dispatch/forwarding_job_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include "dispatch/dispatch_settings.h"
@@ -10,21 +11,31 @@
 class Metrics;
 }
 namespace hawthornwheel::fleet {
+class MembershipController;
 class PeerMessenger;
-}
+}  // namespace hawthornwheel::fleet
 
 namespace hawthornwheel::dispatch {
 
 /// Serves keys of this process locally and forwards all others to their home,
-/// the only process that may decide on them.
+/// the only process that may decide on them. While a call waits for its home,
+/// the home is probed, so that the caller is told soon when it is gone.
 class ForwardingJobService final : public JobService {
  public:
-  /// All references must outlive the service. Registers the messenger's
-  /// handlers for forwarded calls.
-  ForwardingJobService(JobService& local, fleet::PeerMessenger& messenger,
-                       const fleet::FleetBoard& fleet_board,
-                       base::Metrics& metrics,
-                       const DispatchSettings& settings);
+  struct Parts {
+    base::Clock& clock;
+    JobService& local;
+    fleet::PeerMessenger& messenger;
+    const fleet::FleetBoard& fleet_board;
+    const fleet::MembershipController& membership;
+    base::Metrics& metrics;
+    const DispatchSettings& settings;
+  };
+
+  /// `parts` must outlive the service. Registers the messenger's handlers for
+  /// forwarded calls.
+  explicit ForwardingJobService(const Parts& parts);
+  ~ForwardingJobService() override;
 
   void Submit(const wire::SubmitRequest& request, base::Duration wait,
               AnswerCallback done) override;
@@ -35,18 +46,21 @@
   bool IsReady() const override;
 
  private:
+  /// A call that waits for the answer of its home.
+  struct ForwardedCall;
+  using CallPointer = std::shared_ptr<ForwardedCall>;
+
   bool IsLocal(const std::string& key) const;
   void Forward(const std::string& key, wire::Envelope envelope,
                base::Duration wait, AnswerCallback done);
+  void Probe(const CallPointer& call);
+  void Complete(ForwardedCall& call, wire::JobAnswer answer);
+  void Fail(ForwardedCall& call, const std::string& detail);
   void Serve(const wire::Envelope& request);
   void ReplyWithAnswer(const wire::Envelope& request,
                        const wire::JobAnswer& answer);
 
-  JobService& local;
-  fleet::PeerMessenger& messenger;
-  const fleet::FleetBoard& fleet_board;
-  base::Metrics& metrics;
-  const DispatchSettings& settings;
+  Parts parts;
 };
 
 }  // namespace hawthornwheel::dispatch
