Errors quote at most a short, printable part of foreign text

Cause: the message about an unreadable body repeated the parser's text, which holds the whole body with its NUL bytes; a malformed key came back whole.

Change: base::Excerpt escapes bytes that are not printable ASCII and cuts at 120 characters; used for bodies and malformed keys.

--- a/src/libs/dispatch/job_controller.cc
+++ b/src/libs/dispatch/job_controller.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/hash/hash.h"
+#include "base/excerpt.h"
 #include "base/metrics.h"
 #include "dispatch/failure.h"
 #include "dispatch/routing_controller.h"
@@ -70,10 +71,7 @@
   } else {
     const auto parsed = SubmissionKey::Parse(request.key());
     if (!parsed) {
-      this->Refuse(request.key(),
-                   Error(ErrorKind::kKeyMalformed,
-                         "must be home/epoch/caller part", "key"),
-                   done);
+      this->RefuseMalformed(request.key(), done);
       return;
     }
     key = *parsed;
@@ -104,6 +102,14 @@
   this->routing.Run();
 }
 
+void JobController::RefuseMalformed(const std::string& key,
+                                    const AnswerCallback& done) {
+  this->Refuse(
+      base::Excerpt(key),
+      Error(ErrorKind::kKeyMalformed, "must be home/epoch/caller part", "key"),
+      done);
+}
+
 void JobController::RefuseByStatus(const SubmissionKey& key, KeyStatus status,
                                    const AnswerCallback& done) {
   const std::string text = key.Format();
@@ -156,7 +162,7 @@
                           AnswerCallback done) {
   const auto key = SubmissionKey::Parse(text);
   if (!key) {
-    this->Refuse(text, Error(ErrorKind::kKeyMalformed, "", "key"), done);
+    this->RefuseMalformed(text, done);
     return;
   }
   const KeyStatus status = this->registry.Check(*key);
@@ -171,7 +177,7 @@
 void JobController::Cancel(const std::string& text, AnswerCallback done) {
   const auto key = SubmissionKey::Parse(text);
   if (!key) {
-    this->Refuse(text, Error(ErrorKind::kKeyMalformed, "", "key"), done);
+    this->RefuseMalformed(text, done);
     return;
   }
   const KeyStatus status = this->registry.Check(*key);
--- a/src/libs/dispatch/job_controller.h
+++ b/src/libs/dispatch/job_controller.h
@@ -49,6 +49,7 @@
  private:
   void AnswerKnown(const SubmissionKey& key, std::uint64_t fingerprint,
                    base::Duration wait, AnswerCallback done);
+  void RefuseMalformed(const std::string& key, const AnswerCallback& done);
   void RefuseByStatus(const SubmissionKey& key, KeyStatus status,
                       const AnswerCallback& done);
   void Wait(Job& job, base::Duration wait, AnswerCallback done);
--- a/src/libs/wire/json.cc
+++ b/src/libs/wire/json.cc
@@ -2,6 +2,8 @@
 
 #include <google/protobuf/util/json_util.h>
 
+#include "base/excerpt.h"
+
 namespace hawthornwheel::wire {
 
 namespace util = google::protobuf::util;
@@ -20,8 +22,10 @@
   const util::Status status = util::JsonStringToMessage(
       google::protobuf::StringPiece(text.data(), text.size()), &message);
   if (status.ok()) return true;
-  return base::Error(base::ErrorKind::kInvalidRequest,
-                     std::string(status.message()), "body");
+  return base::Error(
+      base::ErrorKind::kInvalidRequest,
+      base::Excerpt({status.message().data(), status.message().size()}),
+      "body");
 }
 
 }  // namespace hawthornwheel::wire
--- a/tests/contract/caller_contract_test.cc
+++ b/tests/contract/caller_contract_test.cc
@@ -118,6 +118,20 @@
   EXPECT_LE(this->counts.max_running, 2U);
 }
 
+// Guards against a message that repeated a whole body with its NUL bytes.
+TEST_F(CallerContractTest, MessageQuotesShortPrintablePartOfUnreadableBody) {
+  std::string body = R"({"team":")";
+  for (int i = 0; i < 2'000; ++i) body += std::string("\0\xff", 2);
+  const auto reply = Call("POST", this->address, "/v1/jobs", body);
+  EXPECT_EQ(reply.status, 400);
+  EXPECT_LT(reply.body.size(), 500U);
+  for (const char c : reply.body) EXPECT_TRUE(c >= ' ' && c <= '~');
+  const auto long_key =
+      Call("GET", this->address, "/v1/jobs/" + std::string(5'000, 'k'));
+  EXPECT_EQ(Parse(long_key).failure().kind(), "key_malformed");
+  EXPECT_LT(long_key.body.size(), 500U);
+}
+
 struct RefusalCase {
   const char* name;
   const char* method;
