Peers: the accepting side of a connection sends no ZeroMQ heartbeats

Cause: both sides of each connection sent a ping every 0.5 s and answered the other's.

Change: only the connecting side, which sends the messages and has to notice a dead connection, pings. The accepting side closes a connection without a ping for 5 s, by the time to live in the ping.

--- a/src/libs/peers/zmq_transport.cc
+++ b/src/libs/peers/zmq_transport.cc
@@ -20,10 +20,14 @@
 constexpr int kLingerMs = 200;
 constexpr int kReconnectIntervalMs = 50;
 constexpr int kMaxReconnectIntervalMs = 200;
-// ZeroMQ closes and reopens a connection on which it receives nothing for the
-// heartbeat interval plus the heartbeat timeout.
+// The connecting side of a connection sends ZeroMQ heartbeats. It closes and
+// reopens a connection on which it receives nothing for the heartbeat interval
+// plus the heartbeat timeout. The accepting side sends none of its own, since it
+// only receives; it closes a connection on which no heartbeat arrives for
+// kHeartbeatTtlMs.
 constexpr int kHeartbeatMs = 500;
 constexpr int kHeartbeatTimeoutMs = 1'000;
+constexpr int kHeartbeatTtlMs = 5'000;
 constexpr int kConnectTimeoutMs = 500;
 constexpr std::int64_t kMaxMessageBytes = 64 << 20;
 // Maximum number of messages received in one dispatch of the event source, so
@@ -118,6 +122,7 @@
     }
     void* socket = zmq_socket(this->context, ZMQ_PUSH);
     SetOptions(socket);
+    SetHeartbeats(socket);
     const std::string uri = "tcp://" + address;
     if (zmq_connect(socket, uri.c_str()) != 0) {
       zmq_close(socket);
@@ -135,15 +140,19 @@
                    sizeof(int));
     zmq_setsockopt(socket, ZMQ_RECONNECT_IVL_MAX, &kMaxReconnectIntervalMs,
                    sizeof(int));
-    zmq_setsockopt(socket, ZMQ_HEARTBEAT_IVL, &kHeartbeatMs, sizeof(int));
-    zmq_setsockopt(socket, ZMQ_HEARTBEAT_TIMEOUT, &kHeartbeatTimeoutMs,
-                   sizeof(int));
     zmq_setsockopt(socket, ZMQ_CONNECT_TIMEOUT, &kConnectTimeoutMs,
                    sizeof(int));
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &kMaxMessageBytes,
                    sizeof(std::int64_t));
   }
 
+  static void SetHeartbeats(void* socket) {
+    zmq_setsockopt(socket, ZMQ_HEARTBEAT_IVL, &kHeartbeatMs, sizeof(int));
+    zmq_setsockopt(socket, ZMQ_HEARTBEAT_TIMEOUT, &kHeartbeatTimeoutMs,
+                   sizeof(int));
+    zmq_setsockopt(socket, ZMQ_HEARTBEAT_TTL, &kHeartbeatTtlMs, sizeof(int));
+  }
+
   base::Metrics& metrics;
   void* context;
   void* incoming = nullptr;
