HTTP server: run libsoup in an event context of its own

Cause: the main loop visits all its sources in each iteration, and most of them belong to idle connections of libsoup, while most iterations serve peers and endpoints.

Ruled out: fewer iterations (messages between processes are already combined); a thread for libsoup (one loop, one thread).

Change: EventContext holds libsoup's sources in a GLib context that the main loop serves through one source. It is iterated only when one of its descriptors is ready, a time-out is due, or a call from outside has added a source.

Tests: http_server_test, job_front_test and the contract tests pass.

--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -9,6 +9,7 @@
 #include "base/address.h"
 #include "http/close_watcher.h"
 #include "http/connection_guard.h"
+#include "http/event_context.h"
 #include "http/peer_state.h"
 
 namespace hawthornwheel::http {
@@ -23,9 +24,11 @@
  public:
   Exchange(SoupServerMessage* message,
            std::shared_ptr<std::size_t> open_requests,
+           std::shared_ptr<EventContext> context,
            std::shared_ptr<CloseWatcher> watcher)
       : message(message),
         open_requests(std::move(open_requests)),
+        context(std::move(context)),
         watcher(std::move(watcher)) {
     g_object_ref(message);
     ++*this->open_requests;
@@ -42,6 +45,7 @@
     if (this->answered || this->finished) return;
     this->answered = true;
     this->StopWatching();
+    const EventContext::Scope scope(*this->context);
     SoupMessageHeaders* headers =
         soup_server_message_get_response_headers(this->message);
     for (const auto& [name, value] : reply.headers) {
@@ -89,6 +93,7 @@
   bool answered = false;
   bool paused = false;
   bool finished = false;
+  std::shared_ptr<EventContext> context;
   std::shared_ptr<CloseWatcher> watcher;
   /// Socket that is watched; null for none.
   GSocket* watched = nullptr;
@@ -172,8 +177,8 @@
                                      nullptr);
       return;
     }
-    const auto exchange =
-        std::make_shared<Exchange>(message, self->open_requests, self->watcher);
+    const auto exchange = std::make_shared<Exchange>(
+        message, self->open_requests, self->context, self->watcher);
     g_signal_connect_data(message, "finished", G_CALLBACK(OnFinished),
                           new ExchangePointer(exchange), DeleteExchange,
                           GConnectFlags{});
@@ -182,9 +187,12 @@
     request.watch_connection = [weak](std::function<void()> on_closed) {
       if (const auto locked = weak.lock()) locked->Watch(std::move(on_closed));
     };
-    self->handler(request, [exchange](const HttpReply& reply) {
-      exchange->Respond(reply);
-    });
+    {
+      const EventContext::MainLoopScope scope;
+      self->handler(request, [exchange](const HttpReply& reply) {
+        exchange->Respond(reply);
+      });
+    }
     exchange->PauseUntilAnswered();
   }
 
@@ -193,6 +201,7 @@
   Handler handler;
   SoupServer* server = nullptr;
   std::unique_ptr<ConnectionGuard> guard;
+  std::shared_ptr<EventContext> context = std::make_shared<EventContext>();
   std::shared_ptr<CloseWatcher> watcher = std::make_shared<CloseWatcher>();
   std::shared_ptr<std::size_t> open_requests = std::make_shared<std::size_t>(0);
 };
@@ -211,6 +220,7 @@
 }
 
 HttpServer::~HttpServer() {
+  const EventContext::Scope scope(*this->d->context);
   this->d->guard.reset();
   soup_server_disconnect(this->d->server);
   g_object_unref(this->d->server);
@@ -228,6 +238,7 @@
     return Error(ErrorKind::kInvalidSettings,
                  "'" + address + "' is not IP:port");
   }
+  const EventContext::Scope scope(*this->d->context);
   GSocketAddress* socket_address =
       g_inet_socket_address_new_from_string(parsed->ip.c_str(), parsed->port);
   GError* error = nullptr;
