Placement: no look-ups for endpoints without free capacity

Change: only endpoints with free capacity are looked up.

Tests: endpoint_choice_test, hosted_rules_test and large_jobs_test pass.

--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -58,19 +58,20 @@
                                   : Distance::kOtherDomain;
     for (const auto& [id, held] : member.held) {
       if (!held.open) continue;
-      catalog::Resources free = held.free;
-      if (free.cpu_milli > 0)
-        free -= this->remote.UnreportedResources(member, id);
-      if (this->remote.IsRefused(member, id)) free = {};
       Candidate& candidate = candidates.emplace_back();
       candidate.endpoint = id;
       candidate.service = held.service;
       candidate.holder = address;
       candidate.distance = distance;
-      candidate.free = free;
-      candidate.jitter_cost = JitterCost(own_hash, id);
       candidate.pace = held.pace;
       candidate.labels = &held.labels;
+      // Under load, most endpoints have no free capacity, and the look-ups
+      // below would be most of the work.
+      if (held.free.cpu_milli <= 0 || this->remote.IsRefused(member, id))
+        continue;
+      candidate.free = held.free;
+      candidate.free -= this->remote.UnreportedResources(member, id);
+      candidate.jitter_cost = JitterCost(own_hash, id);
     }
   }
 }
