Cold start: domains know each other before endpoints outside are claimed

Cause: after a loss of all processes, the first heartbeats between domains are exchanged before any process is a coordinator, so the receivers count as unrelated; the next ones come a second later.

Ruled out: the store; members and configuration are known 0.25 s after the start.

Change: a process whose role changes sends a heartbeat to all members at once, as the comment already said. Endpoints of other domains are claimed only when this process has been a coordinator for a second.

Test: ColdStartTest, for processes that start together; failed first.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -26,6 +26,9 @@
 constexpr base::Duration kUnrelatedTimeout = seconds(5);
 // Minimum pause between answers to an unrelated process.
 constexpr base::Duration kUnrelatedAnswerPause = milliseconds(500);
+// Time after its start as a coordinator in which a process hears from the
+// coordinators of the other domains, which may have started with it.
+constexpr base::Duration kContactTime = seconds(1);
 // Time in which the members answer the first heartbeat of this process, and one
 // further heartbeat of each arrives.
 constexpr base::Duration kMembershipDiscoveryTime = milliseconds(250);
@@ -252,19 +255,28 @@
 // to all members again, so that a new coordinator becomes known to all.
 void ClusterController::UpdateRoles() {
   const bool before = this->board.is_coordinator;
+  const bool was_entry = this->role_assigned && !before;
+  this->role_assigned = this->board.membership_known;
   if (!RefreshRoles(this->board)) return;
   if (before != this->board.is_coordinator) {
     kLog.Info("Role has changed. coordinates={}", this->board.is_coordinator);
-    if (this->board.is_coordinator) this->AwaitHolders();
+    if (was_entry) this->AwaitHolders();
+    this->role_assigned_at = this->parts.clock.Now();
     for (auto& [address, member] : this->board.members) {
       member.unrelated = false;
     }
+    this->sender.SendToAll();
   }
   this->parts.catalog.FollowEndpoints(this->board.is_coordinator);
 }
 
-// Claims wait until the coordinators have told this process, which has become
-// one of them, what they hold.
+bool ClusterController::AreOtherDomainsKnown() const {
+  return this->board.is_coordinator &&
+         this->parts.clock.Now() - this->role_assigned_at >= kContactTime;
+}
+
+// Claims of an entry that has become a coordinator wait until the other
+// coordinators have told it what they hold. Until now they told it nothing.
 void ClusterController::AwaitHolders() {
   this->membership_unknown_until =
       std::max(this->membership_unknown_until,
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -89,6 +89,10 @@
   /// since a pause of this process, to know which process holds which endpoint.
   bool IsMembershipKnown() const;
 
+  /// Returns whether this process has been a coordinator for long enough to
+  /// know which other domains have coordinators.
+  bool AreOtherDomainsKnown() const;
+
  private:
   void OnTick();
   void FillHeartbeat(wire::MemberHeartbeat& heartbeat) const;
@@ -122,6 +126,9 @@
   base::TimePoint started;
   base::TimePoint membership_unknown_until;
   bool members_read = false;
+  /// Whether a role was assigned after the membership had become known.
+  bool role_assigned = false;
+  base::TimePoint role_assigned_at;
 };
 
 }  // namespace hawthornwheel::cluster
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -104,6 +104,8 @@
     if (this->sessions.contains(id) || this->claim_backoff_until.contains(id))
       continue;
     if (endpoint.entry.draining || endpoint.missing) continue;
+    const bool outside = endpoint.entry.domain != board.self.domain();
+    if (outside && !this->parts.cluster.AreOtherDomainsKnown()) continue;
     if (!this->ShouldHold(endpoint.entry)) continue;
     if (this->owners.IsHeldByOther(endpoint.entry)) continue;
     const EndpointSession::Parts session_parts{
@@ -111,9 +113,8 @@
         this->parts.settings, this->tokens};
     this->sessions[id] = std::make_unique<EndpointSession>(
         session_parts, endpoint.entry, this->last_fences[id],
-        endpoint.entry.domain == board.self.domain()
-            ? EndpointSession::ClaimMode::kAtOnce
-            : EndpointSession::ClaimMode::kAfterProbe,
+        outside ? EndpointSession::ClaimMode::kAfterProbe
+                : EndpointSession::ClaimMode::kAtOnce,
         [this, id = id] {
           this->MarkChanged(id);
           if (this->listener) this->listener();
--- a/tests/cluster/heartbeat_test.cc
+++ b/tests/cluster/heartbeat_test.cc
@@ -99,6 +99,43 @@
   EXPECT_EQ((*answer)->end, JobEnd::kComplete);
 }
 
+// Load pattern: all processes start at the same time, as after a loss of power.
+// Guards against domains that hear from each other a second late: their
+// coordinators probed and claimed the endpoints of all other domains meanwhile.
+TEST(ColdStartTest, DomainsKnowEachOtherBeforeTheyClaimEndpointsOutside) {
+  constexpr int kDomains = 3;
+  HostedFleet fleet;
+  fleet.Publish("1 /a/:1");
+  std::vector<std::string> names;
+  for (int domain = 0; domain < kDomains; ++domain) {
+    const std::string name = "d" + std::to_string(domain);
+    for (int i = 0; i < 4; ++i) {
+      fleet.AddEndpoint(name + "-e" + std::to_string(i), name);
+    }
+    for (int i = 0; i < 2; ++i) {
+      names.push_back(name + "-p" + std::to_string(i));
+      fleet.AddProcess(names.back(), name);
+      fleet.Run(milliseconds(40));
+    }
+  }
+  for (int i = 0; i < 40; ++i) {
+    fleet.Run(milliseconds(100));
+    for (const std::string& name : names) {
+      HostedProcess& process = fleet.Process(name);
+      for (const auto& [id, session] : process.pool.Sessions()) {
+        EXPECT_EQ(session->Entry().domain, process.domain)
+            << name << " after " << (i + 1) * 100 << " ms";
+      }
+    }
+    if (i < 9) continue;
+    for (const std::string& name : names) {
+      EXPECT_EQ(fleet.Process(name).cluster.Board().coordinators.size(),
+                names.size())
+          << name << " after " << (i + 1) * 100 << " ms";
+    }
+  }
+}
+
 // Guards against a hand-over in which both processes act: an entry that becomes
 // a coordinator does not know yet which endpoints the other coordinator holds.
 TEST(PromotedEntryTest, DoesNotTakeEndpointsFromTheirHolder) {
