Test: free capacity for the tasks of an unheard holder

Change: endpoints are added during the partition. Run on the earlier remote_runs.cc it fails now, from offset 600 ms on ("runs twice: run 1 at south-e2 and run 2 at north-e10"); it passes on the changed one.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "base/logger.h"
@@ -21,6 +22,11 @@
 // before it is rejected. The caller can then still submit it elsewhere; after a
 // longer wait, the job would miss the objective anyway.
 constexpr double kMaxWaitShare = 0.22;
+// Declared run times are rough. The wait is a share of the objective that
+// follows from a low estimate, one standard deviation below the declared one:
+// the caller of a job that is shorter than declared must not wait longer than
+// its objective allows.
+const double kLowEstimateFactor = std::exp(-kDeclaredLogStdDev);
 // Time for which answers are kept, since copies of a job may arrive seconds
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
@@ -172,7 +178,11 @@
       Scale(job.request.estimate, job.route.objective_stretch) +
       job.route.objective_slack;
   job.objective_end = job.arrival + objective;
-  job.latest_start = job.arrival + Scale(objective, kMaxWaitShare);
+  const base::Duration low_objective =
+      Scale(job.request.estimate,
+            job.route.objective_stretch * kLowEstimateFactor) +
+      job.route.objective_slack;
+  job.latest_start = job.arrival + Scale(low_objective, kMaxWaitShare);
   base::Duration timeout = job.route.timeout;
   if (job.request.caller_timeout > base::Duration{0}) {
     timeout = std::min(timeout, job.request.caller_timeout);
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -475,6 +475,10 @@
     fleet.Run(milliseconds(50));
     ASSERT_GT(fleet.endpoints.RunningAt("south-e0"), 0U);
     fleet.network.Partition("south", "north");
+    // Free capacity at which the tasks could be started again.
+    for (int i = 4; i < 12; ++i) {
+      fleet.AddEndpoint("north-e" + std::to_string(i), "north");
+    }
     fleet.Run(milliseconds(offset_ms));
     fleet.network.Partition("north", "south");
     fleet.Run(seconds(8));
