Format and lint of the new HTTP files

Cause: scripts/check.sh rejected the format of a comment, forward declarations of library types, and a system clock in EventContext.

Change: formatted; NOLINT names the libraries; the source's own time is used.

--- a/src/libs/http/close_watcher.h
+++ b/src/libs/http/close_watcher.h
@@ -3,8 +3,7 @@
 #include <functional>
 #include <memory>
 
-// NOLINTNEXTLINE(readability-identifier-naming): declared by GLib
-typedef struct _GSocket GSocket;  // NOLINT(modernize-use-using)
+typedef struct _GSocket GSocket;  // NOLINT: declared so by GLib
 
 namespace hawthornwheel::http {
 
--- a/src/libs/http/connection_guard.h
+++ b/src/libs/http/connection_guard.h
@@ -5,8 +5,7 @@
 
 #include "http/connection_limits.h"
 
-// NOLINTNEXTLINE(readability-identifier-naming): declared by libsoup
-typedef struct _SoupServer SoupServer;  // NOLINT(modernize-use-using)
+typedef struct _SoupServer SoupServer;  // NOLINT: declared so by libsoup
 
 namespace hawthornwheel::http {
 
--- a/src/libs/http/event_context.cc
+++ b/src/libs/http/event_context.cc
@@ -99,7 +99,7 @@
     g_source_set_ready_time(this->source,
                             timeout_ms < 0
                                 ? -1
-                                : g_get_monotonic_time() +
+                                : g_source_get_time(this->source) +
                                       timeout_ms * kMicrosecondsPerMillisecond);
     if (!g_main_context_check(this->context, priority, this->polled.data(),
                               count)) {
--- a/src/libs/peers/zmq_transport.cc
+++ b/src/libs/peers/zmq_transport.cc
@@ -22,8 +22,8 @@
 constexpr int kMaxReconnectIntervalMs = 200;
 // The connecting side of a connection sends ZeroMQ heartbeats. It closes and
 // reopens a connection on which it receives nothing for the heartbeat interval
-// plus the heartbeat timeout. The accepting side sends none of its own, since it
-// only receives; it closes a connection on which no heartbeat arrives for
+// plus the heartbeat timeout. The accepting side sends none of its own, since
+// it only receives; it closes a connection on which no heartbeat arrives for
 // kHeartbeatTtlMs.
 constexpr int kHeartbeatMs = 500;
 constexpr int kHeartbeatTimeoutMs = 1'000;
