Clock: after a pause, input is read before timers run; fewer loop iterations

Besides, a timer without a delay that a timer starts cost an iteration of the loop, as placements after each answer and their messages do.

Ruled out: checks at each order alone; they see only what was read.

Change: while the earliest timer is more than 0.4 s late, the timers wait for three iterations of the loop. A dispatch runs up to four rounds of due timers.

--- a/src/libs/base/glib_clock.cc
+++ b/src/libs/base/glib_clock.cc
@@ -17,6 +17,15 @@
 // Upper bound of the timeout passed to the main loop, in milliseconds. Timers
 // with a longer delay wait for several loop iterations.
 constexpr std::int64_t kMaxWaitMs = 3'600'000;
+// Lateness of a timer above which the process counts as paused. Timers then run
+// after kInputIterations of the loop, in which everything that has arrived
+// meanwhile is read: a closed connection, a peer's message or an endpoint's
+// answer may forbid what a timer would do.
+constexpr Duration kPauseThreshold{400'000};
+constexpr int kInputIterations = 3;
+// Maximum number of rounds over the due timers in one dispatch, so that the
+// other sources of the loop are served too.
+constexpr int kMaxRounds = 4;
 
 }  // namespace
 
@@ -70,13 +79,38 @@
   }
 
   static gboolean Dispatch(GSource* source, GSourceFunc, gpointer) {
-    OwnerOf(source).RunDue();
+    Private& self = OwnerOf(source);
+    if (self.WasPaused() && self.deferred_iterations < kInputIterations) {
+      ++self.deferred_iterations;
+      return G_SOURCE_CONTINUE;
+    }
+    self.deferred_iterations = 0;
+    self.RunDue();
     return G_SOURCE_CONTINUE;
   }
 
+  // Returns whether the process has not run for a while: the earliest timer is
+  // long overdue.
+  bool WasPaused() const {
+    return !this->queue.empty() &&
+           this->clock.Now() - this->queue.begin()->first.first >
+               kPauseThreshold;
+  }
+
+  // Runs the due timers. Timers without a delay are often started by the
+  // callbacks of others, so a few rounds save as many loop iterations.
   void RunDue() {
     const TimePoint start = this->clock.Now();
-    // Timers started by a callback wait for the next loop iteration.
+    for (int round = 0; round < kMaxRounds && this->RunRound(); ++round) {
+    }
+    this->longest_dispatch =
+        std::max(this->longest_dispatch, this->clock.Now() - start);
+  }
+
+  // Returns whether a callback has started a timer that is due.
+  bool RunRound() {
+    const TimePoint start = this->clock.Now();
+    // Timers started by a callback wait for the next round.
     const TimerId first_new_id = this->next_id;
     auto next = this->queue.begin();
     while (next != this->queue.end() && next->first.first <= start) {
@@ -91,8 +125,8 @@
       callback();
       next = this->queue.begin();
     }
-    this->longest_dispatch =
-        std::max(this->longest_dispatch, this->clock.Now() - start);
+    return !this->queue.empty() &&
+           this->queue.begin()->first.first <= this->clock.Now();
   }
 
   const GlibClock& clock;
@@ -101,6 +135,8 @@
   std::map<Deadline, std::function<void()>> queue;
   std::unordered_map<TimerId, TimePoint> deadlines;
   Duration longest_dispatch{0};
+  /// Iterations since a pause in which the timers have not run yet.
+  int deferred_iterations = 0;
   Duration wall_offset{0};
 };
 
