Cluster: one function for weighted rendezvous hashing

Cause: the owner of an endpoint and the coordinator of a forwarded job were chosen with two copies of the same formula.

Change: RendezvousScore; no change of behaviour, but for a weight of 0, which settings do not allow.

--- a/src/libs/cluster/endpoint_owners.cc
+++ b/src/libs/cluster/endpoint_owners.cc
@@ -1,11 +1,9 @@
 #include "cluster/endpoint_owners.h"
 
-#include <xxhash.h>
-
-#include <algorithm>
-#include <cmath>
 #include <cstddef>
 
+#include "cluster/rendezvous.h"
+
 namespace hawthornwheel::cluster {
 namespace {
 
@@ -13,17 +11,6 @@
 // have left the catalog are not removed one by one.
 constexpr std::size_t kMaxRememberedOwners = 65'536;
 
-// Weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1).
-double Score(const std::string& endpoint_id, const Coordinator& coordinator) {
-  const std::string& address = coordinator.address;
-  const std::uint64_t hash = XXH64(endpoint_id.data(), endpoint_id.size(),
-                                   XXH64(address.data(), address.size(), 0));
-  constexpr double kRange = 18446744073709551616.0;  // 2 to the 64
-  const double uniform = (static_cast<double>(hash) + 0.5) / kRange;
-  const double weight = std::max<double>(coordinator.weight, 1);
-  return -weight / std::log(std::min(uniform, 1 - 1e-12));
-}
-
 }  // namespace
 
 EndpointOwners::EndpointOwners(const ClusterBoard& board) : board(board) {}
@@ -51,7 +38,8 @@
   for (const Coordinator& coordinator : this->board.coordinators) {
     if (!domain.empty() && coordinator.domain != domain) continue;
     ++this->score_count;
-    const double score = Score(endpoint_id, coordinator);
+    const double score =
+        RendezvousScore(endpoint_id, coordinator.address, coordinator.weight);
     if (score <= best) continue;
     best = score;
     owner = coordinator.address;
--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -1,15 +1,14 @@
 #include "jobs/job_relay.h"
 
-#include <xxhash.h>
-
+#include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <vector>
 
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
 #include "cluster/cluster_controller.h"
+#include "cluster/rendezvous.h"
 #include "jobs/job_coordinator.h"
 
 namespace hawthornwheel::jobs {
@@ -32,18 +31,6 @@
 // the job.
 constexpr base::Duration kAnswerSlack = milliseconds(60);
 
-// Returns the score of `member` for a job by weighted rendezvous hashing, so
-// that copies of a job go to the same coordinator.
-double Score(const std::string& job, const wire::MemberAnnounce& member) {
-  const std::string& address = member.peer_address();
-  const std::uint64_t hash =
-      XXH64(job.data(), job.size(), XXH64(address.data(), address.size(), 0));
-  constexpr double kRange = 18446744073709551616.0;  // 2 to the 64
-  const double uniform = (static_cast<double>(hash) + 0.5) / kRange;
-  return -static_cast<double>(member.weight()) /
-         std::log(std::min(uniform, 1 - 1e-12));
-}
-
 catalog::Route RouteOf(const wire::HandedJob& job) {
   catalog::Route route;
   route.name = job.route();
@@ -130,7 +117,9 @@
   for (const auto& [address, member] : board.members) {
     if (!member.is_coordinator || !board.IsSameDomain(member)) continue;
     if (!cluster::ClusterBoard::IsReceivedBy(member)) continue;
-    const double score = Score(job, member.announce);
+    // Copies of a job get the same coordinator.
+    const double score =
+        cluster::RendezvousScore(job, address, member.announce.weight());
     if (score <= best) continue;
     best = score;
     chosen = address;
