--- a/src/libs/http/close_watcher.cc
+++ b/src/libs/http/close_watcher.cc
@@ -76,12 +76,13 @@
   std::unordered_map<GSocket*, std::function<void()>> callbacks;
 };
 
-CloseWatcher::CloseWatcher() : d(std::make_unique<Private>()) {}
+CloseWatcher::CloseWatcher() = default;
 
 CloseWatcher::~CloseWatcher() = default;
 
 void CloseWatcher::Watch(GSocket* socket, std::function<void()> callback) {
   if (g_socket_is_closed(socket)) return;
+  if (this->d == nullptr) this->d = std::make_unique<Private>();
   this->d->Remove(socket);
   g_object_ref(socket);
   this->d->callbacks[socket] = std::move(callback);
@@ -92,6 +93,8 @@
             &event);
 }
 
-void CloseWatcher::Stop(GSocket* socket) { this->d->Remove(socket); }
+void CloseWatcher::Stop(GSocket* socket) {
+  if (this->d != nullptr) this->d->Remove(socket);
+}
 
 }  // namespace hawthornwheel::http
--- a/src/libs/http/close_watcher.h
+++ b/src/libs/http/close_watcher.h
@@ -9,7 +9,8 @@
 
 /// Reports connections that the peer closes while a request is being handled,
 /// which libsoup does not check. Uses one source of the main loop for all of
-/// them, because GLib visits each source in each iteration.
+/// them, because GLib visits each source in each iteration, and none before the
+/// first connection is watched.
 class CloseWatcher {
  public:
   CloseWatcher();
--- a/src/libs/http/event_context.cc
+++ b/src/libs/http/event_context.cc
@@ -147,6 +147,16 @@
 
 EventContext::~EventContext() = default;
 
+std::shared_ptr<EventContext> EventContext::Shared() {
+  static std::weak_ptr<EventContext> shared;
+  std::shared_ptr<EventContext> context = shared.lock();
+  if (context == nullptr) {
+    context = std::make_shared<EventContext>();
+    shared = context;
+  }
+  return context;
+}
+
 EventContext::Scope::Scope(EventContext& context) : context(context) {
   g_main_context_push_thread_default(context.d->context);
 }
--- a/src/libs/http/event_context.h
+++ b/src/libs/http/event_context.h
@@ -13,6 +13,9 @@
   EventContext();
   ~EventContext();
 
+  /// Returns the context that all servers of the process share.
+  static std::shared_ptr<EventContext> Shared();
+
   /// Calls functions of the library: asynchronous operations that are started
   /// within the scope belong to the context.
   class Scope {
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -201,7 +201,7 @@
   Handler handler;
   SoupServer* server = nullptr;
   std::unique_ptr<ConnectionGuard> guard;
-  std::shared_ptr<EventContext> context = std::make_shared<EventContext>();
+  std::shared_ptr<EventContext> context = EventContext::Shared();
   std::shared_ptr<CloseWatcher> watcher = std::make_shared<CloseWatcher>();
   std::shared_ptr<std::size_t> open_requests = std::make_shared<std::size_t>(0);
 };
