--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -445,7 +445,7 @@
 // A process that receives no messages gives up its runs at other processes.
 // The other processes still receive its messages, so they would continue the
 // runs. The process detects the partition within 1 s and restarts the tasks
-// 0.5 s later.
+// 1.2 s later.
 TEST_F(HostedRulesTest, RunsOfProcessThatReceivesNothingAreStopped) {
   constexpr double kSlowPace = 1.6;
   this->StartTwoDomains(kSlowPace);
