--- a/review/3/main.cc
+++ b/review/3/main.cc
@@ -13,7 +13,7 @@
 namespace review {
 namespace {
 
-constexpr int kWorkers = 6;
+constexpr int kWorkers = 7;
 constexpr int kRunSeconds = 60;
 constexpr int kMinIntervalMs = 1'000;
 constexpr int kMaxIntervalMs = 1'400;
