--- a/review/1/main.cc
+++ b/review/1/main.cc
@@ -13,7 +13,7 @@
 namespace review {
 namespace {
 
-constexpr int kRunSeconds = 80;
+constexpr int kRunSeconds = 65;
 constexpr int kJobIntervalMs = 700;
 constexpr int kTasksPerJob = 1;
 constexpr std::int64_t kTaskCpu = 2'000;
