HTTP client: send an order once, also when its connection ends

Cause: libcurl repeats a request by itself when a kept connection ends before the answer begins. A start order whose answer was lost was delivered twice; the endpoint carried out the first copy and refused the second one, whose token had been overtaken by a recheck. The refusal was taken for the outcome.

Change: a call is written once unless its sender marks it as repeatable; libcurl asks before each write, and a second one is refused.

Related paths: the project's own interface (libsoup) already cancels a restarted message.

--- a/src/libs/http/async_http_client.cc
+++ b/src/libs/http/async_http_client.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <chrono>
 #include <unordered_map>
+#include <utility>
 
 #include "absl/strings/ascii.h"
 #include "base/timer.h"
@@ -69,6 +70,8 @@
     /// Whether the empty line after the headers was received. libcurl accepts a
     /// truncated header block as complete.
     bool headers_ended = false;
+    /// Whether the request may already have been written to a connection.
+    bool sent = false;
     Handler done;
     base::TimerId timer = 0;
   };
@@ -100,6 +103,15 @@
     return size * count;
   }
 
+  // Called before libcurl writes a request. libcurl writes a request again when
+  // a kept connection ends before the answer begins, although the server may
+  // have carried the request out. A second write is therefore refused.
+  static int OnRequest(void* target, char*, char*, int, int) {
+    auto* exchange = static_cast<Exchange*>(target);
+    return std::exchange(exchange->sent, true) ? CURL_PREREQFUNC_ABORT
+                                               : CURL_PREREQFUNC_OK;
+  }
+
   Private(base::Clock& clock, unsigned connections)
       : clock(clock),
         multi(curl_multi_init()),
@@ -235,6 +247,11 @@
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     curl_multi_remove_handle(this->multi, handle);
     this->RecycleHandle(std::move(exchange->handle));
+    if (code == CURLE_ABORTED_BY_CALLBACK) {
+      exchange->done(Error(ErrorKind::kOutcomeUnknown,
+                           "the connection ended before the answer"));
+      return;
+    }
     if (code != CURLE_OK) {
       exchange->done(Error(ErrorKind::kOutcomeUnknown, cause));
       return;
@@ -297,6 +314,10 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, exchange.get());
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, Private::OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, exchange.get());
+  if (!call.repeatable) {
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, Private::OnRequest);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, exchange.get());
+  }
   curl_slist* headers = nullptr;
   if (call.method == "POST") {
     curl_easy_setopt(handle, CURLOPT_POST, 1L);
--- a/src/libs/http/async_http_client.h
+++ b/src/libs/http/async_http_client.h
@@ -24,6 +24,10 @@
   std::vector<std::pair<std::string, std::string>> headers;
   /// Time limit; when it expires, the connection is closed and the call fails.
   base::Duration timeout{0};
+  /// Whether the server may carry out the call more than once. The client then
+  /// sends it again by itself when a kept connection ends before the answer
+  /// begins.
+  bool repeatable = false;
 };
 
 /// Sends HTTP calls on the GLib main loop. Keeps connections open between
@@ -38,9 +42,9 @@
   AsyncHttpClient(base::Clock& clock, unsigned connections);
   ~AsyncHttpClient();
 
-  /// Sends a call. Passes kOutcomeUnknown to `done` if there was no complete
-  /// answer; the server may or may not have received the request. `done` is not
-  /// called after the client is destroyed.
+  /// Sends a call, once unless it is repeatable. Passes kOutcomeUnknown to
+  /// `done` if there was no complete answer; the server may or may not have
+  /// received the request. `done` is not called after the client is destroyed.
   void Send(const HttpCall& call, Handler done);
 
  private:
