Runs: a refused start does not end a run that the endpoint lists

Cause: when a start was refused, its run ended as not run, without regard to a list of runs that had already shown it. Whatever delivers an order twice then has a running task started elsewhere.

Change: a refusal no longer ends a run that the endpoint has listed. A refusal with the current token still closes the session.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -54,6 +54,24 @@
   return "unknown";
 }
 
+// Returns whether the endpoint answered that it has not carried out an order.
+bool IsRefusal(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kFenced:
+    case OrderOutcome::kStaleRun:
+    case OrderOutcome::kExpired:
+    case OrderOutcome::kNoCapacity:
+    case OrderOutcome::kInvalid:
+    case OrderOutcome::kOverloaded:
+      return true;
+    case OrderOutcome::kAccepted:
+    case OrderOutcome::kWrongInstance:
+    case OrderOutcome::kUnanswered:
+      return false;
+  }
+  return false;
+}
+
 RunOutcome OutcomeOf(RunEndKind kind) {
   switch (kind) {
     case RunEndKind::kDone:
@@ -166,6 +184,14 @@
         this->entry.id, key.first, key.second, order_fence,
         runs::NameOf(reply.outcome), reply.cause);
   }
+  if (run.start_answered && IsRefusal(reply.outcome)) {
+    // The endpoint has listed the run, so it has carried out an earlier
+    // delivery of this order.
+    if (reply.outcome == OrderOutcome::kFenced && order_fence == this->fence) {
+      this->OnFenced(order_fence);
+    }
+    return;
+  }
   switch (reply.outcome) {
     case OrderOutcome::kAccepted:
       run.start_answered = true;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -241,6 +241,18 @@
                      RunOutcome::kNotRun}),
     [](const auto& row) { return row.param.name; });
 
+// Guards against a task that is started again while it runs: an order that was
+// delivered twice is carried out and then refused.
+TEST_P(RefusedStartTest, DoesNotEndRunThatTheEndpointLists) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->clock.Advance(this->settings.recheck_after);
+  this->AnswerPoll(2, OrderOutcome::kAccepted, {{"a", 1, 10}});
+  this->AnswerStart(0, GetParam().outcome);
+  EXPECT_TRUE(this->ends.empty());
+  EXPECT_EQ(this->session->RunCount(), 1U);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
