Runs: keep a start that a restarted idle endpoint has accepted

Cause: idle endpoints are not polled, so a restart is noticed with the poll that follows the first start. Every answered start was then counted as lost with the old incarnation. The answer to a start does not name the incarnation on this platform, so the new one may have given it. The stand-ins named it in every answer, which hid the fault.

Change: a run belongs to an incarnation once a list of runs has shown it. Other runs stay open at a restart until the list of the new incarnation, read with a raised token, shows them or not. The stand-ins name the incarnation in lists of runs only, as the platform does; EndpointSessionTest lists runs before a restart where it expects them to be lost at once, and checks the same outcomes as before.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -195,6 +195,9 @@
   switch (reply.outcome) {
     case OrderOutcome::kAccepted:
       run.start_answered = true;
+      if (reply.incarnation_start_ms != 0) {
+        run.incarnation_start_ms = reply.incarnation_start_ms;
+      }
       if (run.state == RunState::kStarting) {
         run.state = RunState::kRunning;
         run.timer->Stop();
@@ -499,16 +502,20 @@
   std::vector<std::pair<RunKey, RunOutcome>> ended_runs;
   for (auto& [key, run] : this->runs) {
     if (present.contains(key)) {
+      run.start_answered = true;
+      run.incarnation_start_ms = this->incarnation_start_ms;
+      run.overtaken_by_restart = false;
       if (run.state == RunState::kStarting) {
-        run.start_answered = true;
         run.state = RunState::kRunning;
         run.timer->Stop();
       }
       continue;
     }
     // The endpoint now rejects starts with a lower token, so this start cannot
-    // be carried out any more.
-    if (!run.start_answered && !run.foreign && run.fence < order.target.fence) {
+    // be carried out any more. One that was accepted around a restart went to
+    // the previous incarnation.
+    const bool unsettled = !run.start_answered || run.overtaken_by_restart;
+    if (unsettled && !run.foreign && run.fence < order.target.fence) {
       ended_runs.emplace_back(key, run.overtaken_by_restart
                                        ? RunOutcome::kLost
                                        : RunOutcome::kNotRun);
@@ -591,16 +598,23 @@
   this->acked_end_seq = 0;
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
   std::vector<RunKey> lost;
+  // The new incarnation may have accepted a start before this process noticed
+  // the restart. Its list of runs decides about the runs that no list of the
+  // previous incarnation has shown.
   for (auto& [key, run] : this->runs) {
-    if (run.foreign || run.start_answered) {
+    if (run.incarnation_start_ms != 0) {
       lost.push_back(key);
     } else {
       run.overtaken_by_restart = true;
+      run.stop_clock_ms = 0;
     }
   }
-  if (!lost.empty()) {
-    kLog.Warning("Runs are lost. endpoint={} runs={} cause=\"{}\"",
-                 this->entry.id, lost.size(), "endpoint has restarted");
+  if (!this->runs.empty()) {
+    kLog.Warning(
+        "Endpoint has restarted. endpoint={} incarnation={} lost={} "
+        "unsettled={}",
+        this->entry.id, this->incarnation_start_ms, lost.size(),
+        this->runs.size() - lost.size());
   }
   for (const RunKey& key : lost) this->End(key, RunOutcome::kLost);
   this->fence = this->parts.tokens.NextClaim(
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -105,8 +105,11 @@
     RunProgress progress{{}};
     bool overdue = false;
     bool start_answered = false;
-    /// The endpoint restarted before it answered the start, so either
-    /// incarnation may have carried it out.
+    /// Start of the endpoint's incarnation that has the run, in Unix
+    /// milliseconds; 0 while unknown. An accepted start alone does not tell it.
+    std::int64_t incarnation_start_ms = 0;
+    /// The endpoint restarted while the incarnation was unknown, so either one
+    /// may have carried out the start.
     bool overtaken_by_restart = false;
     /// Endpoint's clock in milliseconds when it accepted the stop; 0 before.
     std::int64_t stop_clock_ms = 0;
--- a/tests/platform/order_contract_test.cc
+++ b/tests/platform/order_contract_test.cc
@@ -48,12 +48,12 @@
   std::string request;
   const RawServer server([&request](const std::string& text, int) {
     request = text;
-    return Response("200 OK", R"({"clockMs":482,"born":5})");
+    return Response("200 OK", R"({"clockMs":482})");
   });
   const OrderReply reply = Send(server);
   EXPECT_EQ(reply.outcome, OrderOutcome::kAccepted);
   EXPECT_EQ(reply.clock_ms, 482);
-  EXPECT_EQ(reply.incarnation_start_ms, 5);
+  EXPECT_EQ(reply.incarnation_start_ms, 0);
   for (const char* part :
        {"POST /run-start", "Hawthornwheel-Expect-Instance: i-1",
         R"("taskId":"t.0.0.1")", R"("runId":2)", R"("fence":77)",
@@ -128,6 +128,7 @@
   std::optional<runs::PollReply> reply;
   client.Poll(order, [&](const runs::PollReply& answer) { reply = answer; });
   ASSERT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  EXPECT_EQ(reply->order.incarnation_start_ms, 5);
   ASSERT_EQ(reply->running.size(), 1U);
   EXPECT_EQ(reply->running[0].percent, 41);
   ASSERT_EQ(reply->ended.size(), 2U);
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -37,7 +37,6 @@
     runs::OrderReply reply;
     reply.outcome = outcome;
     reply.clock_ms = ++this->endpoint_ms;
-    reply.incarnation_start_ms = this->incarnation_start_ms;
     return reply;
   }
 
@@ -47,6 +46,10 @@
     runs::PollReply reply;
     reply.order = outcome == OrderOutcome::kUnanswered ? runs::OrderReply{}
                                                        : this->Reply(outcome);
+    // Only lists of runs name the incarnation.
+    if (outcome == OrderOutcome::kAccepted) {
+      reply.order.incarnation_start_ms = this->incarnation_start_ms;
+    }
     reply.running = std::move(running);
     reply.ended = std::move(ended);
     const auto answer = this->orders.polls[index].answer;
@@ -138,9 +141,13 @@
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("answered"));
   this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {{"answered", 1, 0}});
   ASSERT_TRUE(this->Start("open"));
   ++this->incarnation_start_ms;
   this->AnswerStart(1, OrderOutcome::kAccepted);
+  EXPECT_TRUE(this->ends.empty());
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted,
+                   {{"open", 1, 0}});
   ASSERT_EQ(this->ends.size(), 1U);
   EXPECT_EQ(this->ends[0],
             std::make_pair(std::string("answered"), RunOutcome::kLost));
@@ -151,6 +158,38 @@
   EXPECT_EQ(this->session->RunCount(), 1U);
 }
 
+// Guards against a task that is started again while it runs: an idle endpoint
+// restarts unnoticed and accepts a start before a list of its runs shows the
+// new incarnation.
+TEST_F(EndpointSessionTest, StartAcceptedAfterUnnoticedRestartIsKept) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ++this->incarnation_start_ms;
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {{"a", 1, 0}});
+  EXPECT_TRUE(this->ends.empty());
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted,
+                   {{"a", 1, 10}});
+  EXPECT_TRUE(this->ends.empty());
+  EXPECT_EQ(this->session->RunCount(), 1U);
+  EXPECT_TRUE(this->orders.stops.empty());
+}
+
+// The end of such a run is read from the list of the new incarnation.
+TEST_F(EndpointSessionTest, RunThatEndsAfterUnnoticedRestartIsDone) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ++this->incarnation_start_ms;
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  const std::vector<runs::EndedRun> ended = {
+      {1, "a", 1, runs::RunEndKind::kDone}};
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {}, ended);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted, {},
+                   ended);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kDone);
+}
+
 TEST_F(EndpointSessionTest, UnansweredStartBeforeRestartEndsAsLost) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("open"));
@@ -203,11 +242,12 @@
   this->AnswerStart(0, OrderOutcome::kAccepted);
   this->incarnation_start_ms = 8;
   this->AnswerPoll(1, OrderOutcome::kAccepted);
-  ASSERT_EQ(this->ends.size(), 1U);
-  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
   EXPECT_FALSE(this->Start("b"));
   EXPECT_GT(this->orders.polls.back().order.target.fence,
             this->orders.polls.front().order.target.fence);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
 }
 
 struct RefusedStart {
--- a/tests/standins/hosted_endpoint_server.cc
+++ b/tests/standins/hosted_endpoint_server.cc
@@ -70,7 +70,9 @@
     HttpReply reply;
     reply.status = mapping.status;
     body["clockMs"] = order.clock_ms;
-    body["born"] = order.incarnation_start_ms;
+    if (order.incarnation_start_ms != 0) {
+      body["born"] = order.incarnation_start_ms;
+    }
     if (*mapping.reason != '\0') body["reason"] = mapping.reason;
     reply.body = body.dump();
     respond(reply);
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -80,7 +80,6 @@
   OrderReply reply;
   reply.outcome = outcome;
   reply.clock_ms = this->ClockOf(endpoint);
-  reply.incarnation_start_ms = static_cast<std::int64_t>(endpoint.incarnation);
   return reply;
 }
 
@@ -246,6 +245,8 @@
     Endpoint& endpoint = this->endpoints[id];
     PollReply reply;
     reply.order = this->ReplyOf(endpoint, OrderOutcome::kAccepted);
+    reply.order.incarnation_start_ms =
+        static_cast<std::int64_t>(endpoint.incarnation);
     for (const auto& [key, run] : endpoint.runs) {
       const auto age = this->clock.Now() - run.started;
       const int percent = run.time.count() == 0
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -142,6 +142,7 @@
             ProcessClock& process_clock, std::function<void(Endpoint&)> handle,
             std::function<void()> on_timeout);
   std::int64_t ClockOf(const Endpoint& endpoint) const;
+  /// Returns a reply without the incarnation, which only lists of runs carry.
   runs::OrderReply ReplyOf(const Endpoint& endpoint,
                            runs::OrderOutcome outcome) const;
   /// Checks the expected id, which a restart does not change here, and the
