Relay: abandon the jobs of a coordinator that was lost

Cause: an entry abandoned a job at its coordinator when the caller left, but not when it answered the caller because the coordinator was lost or did not answer in time; and it dropped abandon messages for members that were not live.

Change: both ways of giving a job up are one. The message is repeated until the coordinator answers, is replaced, or has reached the deadline of the job.

Evidence: JobRelayTest.FrozenCoordinatorIsToldThatItsJobsWereGivenUp fails when the change is taken out.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -101,9 +101,10 @@
   if (request.caller_timeout > base::Duration{0}) {
     timeout = std::min(timeout, request.caller_timeout);
   }
+  job.coordinator_deadline =
+      this->parts.clock.Now() + timeout + milliseconds(kMaxTransitMs);
   job.timer->StartOnce(timeout + kAnswerSlack, [this, number] {
-    this->FinishForwarded(number, {JobEnd::kTimedOut, {}},
-                          "coordinator did not answer");
+    this->GiveUp(number, JobEnd::kTimedOut, "coordinator did not answer");
   });
   this->parts.metrics.Count("relay.handed");
   this->SendJob(number, address, request, *route, configuration->version);
@@ -262,8 +263,7 @@
     if (is_lost(job.address, job.incarnation)) orphans.push_back(number);
   }
   for (const std::uint64_t number : orphans) {
-    this->FinishForwarded(number, {JobEnd::kInterrupted, {}},
-                          "coordinator was lost");
+    this->GiveUp(number, JobEnd::kInterrupted, "coordinator was lost");
   }
   std::vector<HostedJob> orphaned_jobs;
   std::erase_if(this->hosted, [&is_lost, &orphaned_jobs](const auto& item) {
@@ -290,9 +290,19 @@
     this->parts.coordinator.Abandon(id, caller);
     return;
   }
-  this->abandoned[caller] = found->second.address;
-  this->SendAbandon(caller, found->second.address);
-  this->FinishForwarded(caller, {JobEnd::kInterrupted, {}}, "caller left");
+  this->GiveUp(caller, JobEnd::kInterrupted, "caller left");
+}
+
+// Answers the caller and abandons the job at its coordinator. A coordinator
+// that is lost may still run the job, or wake from a pause and run it again.
+void JobRelay::GiveUp(std::uint64_t number, JobEnd end, const char* cause) {
+  const auto found = this->forwarded.find(number);
+  if (found == this->forwarded.end()) return;
+  const ForwardedJob& job = found->second;
+  this->abandoned[number] = {job.address, job.incarnation,
+                             job.coordinator_deadline};
+  this->SendAbandon(number, job.address);
+  this->FinishForwarded(number, {end, {}}, cause);
 }
 
 void JobRelay::SendAbandon(std::uint64_t number, const std::string& address) {
@@ -303,11 +313,17 @@
 
 void JobRelay::RetryAbandons() {
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
-  std::erase_if(this->abandoned, [&board](const auto& item) {
-    return board.FindLive(item.second) == nullptr;
+  const base::TimePoint now = this->parts.clock.Now();
+  std::erase_if(this->abandoned, [&board, now](const auto& item) {
+    const Abandonment& abandonment = item.second;
+    const auto member = board.members.find(abandonment.address);
+    const bool replaced =
+        member != board.members.end() &&
+        member->second.announce.incarnation() != abandonment.incarnation;
+    return replaced || now >= abandonment.coordinator_deadline;
   });
-  for (const auto& [number, address] : this->abandoned) {
-    this->SendAbandon(number, address);
+  for (const auto& [number, abandonment] : this->abandoned) {
+    this->SendAbandon(number, abandonment.address);
   }
 }
 
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -54,7 +54,7 @@
   /// Handles an envelope. Returns false when its message is not for the relay.
   bool Receive(const wire::Envelope& envelope);
 
-  /// Answers forwarded jobs whose coordinator was lost, and abandons hosted
+  /// Gives up forwarded jobs whose coordinator was lost, and abandons hosted
   /// jobs whose entry process was lost.
   void CheckMembers();
 
@@ -76,7 +76,19 @@
     std::string address;
     std::string incarnation;
     JobResponder respond;
+    /// Ends the job when the coordinator does not answer in time.
     std::unique_ptr<base::Timer> timer;
+    /// Time by which the coordinator ends the job by itself.
+    base::TimePoint coordinator_deadline;
+  };
+  /// Describes a forwarded job that was given up here. Its coordinator is told
+  /// until it confirms, because it may have been lost only for a while.
+  struct Abandonment {
+    /// Peer address and incarnation of the coordinator.
+    std::string address;
+    std::string incarnation;
+    /// Time by which the coordinator ends the job by itself.
+    base::TimePoint coordinator_deadline;
   };
   /// Holds a job of another entry process with its caller number in the
   /// coordinator.
@@ -97,6 +109,7 @@
     }
   };
 
+  void GiveUp(std::uint64_t number, JobEnd end, const char* cause);
   void SendAbandon(std::uint64_t number, const std::string& address);
   void RetryAbandons();
   std::string ChooseCoordinator(const std::string& job) const;
@@ -114,9 +127,8 @@
   std::uint64_t next_number;
   std::map<std::uint64_t, ForwardedJob> forwarded;
   std::map<HostedKey, HostedJob> hosted;
-  /// Peer addresses of the coordinators of jobs that were abandoned and not
-  /// answered since, by number.
-  std::map<std::uint64_t, std::string> abandoned;
+  /// Jobs that were given up and not answered since, by number.
+  std::map<std::uint64_t, Abandonment> abandoned;
   base::Timer retry_timer;
 };
 
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -16,6 +16,10 @@
 using std::chrono::seconds;
 
 constexpr char kPath[] = "/a/";
+constexpr char kLongTimeoutPath[] = "/l/";
+// Time after which a caller submits a job again that was answered with an
+// interruption.
+constexpr base::Duration kResendTime = milliseconds(1'300);
 constexpr std::uint32_t kStrongWeight = 50;
 constexpr std::uint32_t kWeakWeight = 9;
 constexpr int kEndpoints = 8;
@@ -23,7 +27,7 @@
 class JobRelayTest : public ::testing::Test {
  protected:
   void SetUp() override {
-    this->fleet.Publish("1 /a/:1 /u/:0");
+    this->fleet.Publish("1 /a/:1 /u/:0 /l/:1:12000");
     for (int i = 0; i < kEndpoints; ++i) {
       this->fleet.AddEndpoint("e" + std::to_string(i), "north");
     }
@@ -47,6 +51,21 @@
     return running;
   }
 
+  // Submits a job again under the id that it had.
+  void Resubmit(const std::string& process, const std::string& id,
+                base::Duration time) {
+    jobs::JobRequest request;
+    request.id = id;
+    request.host = "h";
+    request.path = kLongTimeoutPath + id;
+    request.payload = id;
+    request.task_count = 1;
+    request.resources = {6'800, 64, 0};
+    request.estimate = time;
+    this->fleet.Process(process).relay.Submit(request,
+                                              [](const jobs::JobAnswer&) {});
+  }
+
   // Returns the coordinator that runs the open job.
   HostedProcess& CoordinatorOfOpenJob() {
     return this->fleet.Process("strong0").jobs.OpenJobs() > 0
@@ -132,6 +151,24 @@
   EXPECT_EQ(this->Running(), 0U);
 }
 
+// Guards against a task that runs twice: a coordinator freezes, its entry
+// answers the caller, and the coordinator wakes and starts the task again
+// beside the run of the job that was submitted again (review case 1).
+TEST_F(JobRelayTest, FrozenCoordinatorIsToldThatItsJobsWereGivenUp) {
+  const std::string id =
+      this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 1, seconds(5));
+  this->fleet.Run(milliseconds(100));
+  HostedProcess& frozen = this->CoordinatorOfOpenJob();
+  frozen.clock.Pause();
+  this->fleet.Run(seconds(1) + kResendTime);
+  this->Resubmit("weak0", id, seconds(5));
+  this->fleet.Run(milliseconds(1'700));
+  frozen.clock.Resume();
+  this->fleet.Run(milliseconds(200));
+  EXPECT_EQ(frozen.jobs.OpenJobs(), 0U);
+  EXPECT_EQ(this->Running(), 1U);
+}
+
 // An entry rejects new jobs during a planned stop, because a late job could
 // outlast the process.
 TEST_F(JobRelayTest, StoppingEntryRejectsNewJobs) {
