Relay: give up jobs with a process that does not hear this one

What callers saw: with messages cut from a coordinator to an entry, the entry answered the caller while the coordinator, which heard the entry, went on with the tasks beside those of the job submitted again. With messages cut the other way, the coordinator dropped the job and the caller waited for its timeout.

The heartbeat tells whether its sender hears the receiver, but only the choice of a coordinator used it.

Change: a process that does not hear this one has counted it as lost and given its jobs up, so the other side does the same, at once.

Evidence: JobRelayTest.CallerIsAnsweredWhenCoordinatorDoesNotHearEntry fails when the change is taken out.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -251,12 +251,15 @@
   job.respond(answer);
 }
 
+// A process that does not receive the heartbeats of this one has counted it as
+// lost, and has given up its jobs with this process.
 void JobRelay::CheckMembers() {
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
   const auto is_lost = [&board](const std::string& address,
                                 const std::string& incarnation) {
     const cluster::ClusterBoard::Member* member = board.FindLive(address);
-    return member == nullptr || member->announce.incarnation() != incarnation;
+    return member == nullptr || member->announce.incarnation() != incarnation ||
+           !cluster::ClusterBoard::IsReceivedBy(*member);
   };
   std::vector<std::uint64_t> orphans;
   for (const auto& [number, job] : this->forwarded) {
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -169,6 +169,30 @@
   EXPECT_EQ(this->Running(), 1U);
 }
 
+// Guards against a task that runs twice: the entry does not hear the
+// coordinator and answers the caller; the coordinator hears the entry and goes
+// on.
+TEST_F(JobRelayTest, TasksAreStoppedWhenEntryDoesNotHearCoordinator) {
+  this->fleet.Submit("weak0", kLongTimeoutPath, 2, seconds(5));
+  this->fleet.Run(milliseconds(100));
+  const std::string coordinator = this->CoordinatorOfOpenJob().name;
+  this->fleet.network.Cut(coordinator, "weak0");
+  this->fleet.Run(kResendTime);
+  EXPECT_EQ(this->Running(), 0U);
+}
+
+// A coordinator that does not hear the entry abandons its jobs, so the caller
+// must not wait for them.
+TEST_F(JobRelayTest, CallerIsAnsweredWhenCoordinatorDoesNotHearEntry) {
+  const auto answer =
+      this->fleet.Submit("weak0", kLongTimeoutPath, 2, seconds(5));
+  this->fleet.Run(milliseconds(100));
+  this->fleet.network.Cut("weak0", this->CoordinatorOfOpenJob().name);
+  this->fleet.Run(kResendTime);
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((**answer).end, JobEnd::kInterrupted);
+}
+
 // An entry rejects new jobs during a planned stop, because a late job could
 // outlast the process.
 TEST_F(JobRelayTest, StoppingEntryRejectsNewJobs) {
--- a/tests/support/fake_network.cc
+++ b/tests/support/fake_network.cc
@@ -35,6 +35,7 @@
       if (this->partitions.contains({this->domains[from], this->domains[to]})) {
         return;
       }
+      if (this->cuts.contains({from, to})) return;
       this->Deliver(to, envelope);
     });
   }
@@ -53,7 +54,14 @@
   this->partitions.insert({from_domain, to_domain});
 }
 
-void FakeNetwork::HealAll() { this->partitions.clear(); }
+void FakeNetwork::Cut(const std::string& from, const std::string& to) {
+  this->cuts.insert({from, to});
+}
+
+void FakeNetwork::HealAll() {
+  this->partitions.clear();
+  this->cuts.clear();
+}
 
 void FakeNetwork::SetFaults(double lost, double duplicated,
                             base::Duration max_delay) {
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -15,7 +15,8 @@
 namespace hawthornwheel::testing {
 
 /// Simulates the network between the processes of a test. It can drop, delay,
-/// duplicate and reorder messages and partition failure domains.
+/// duplicate and reorder messages and partition failure domains or
+/// single processes.
 class FakeNetwork {
  public:
   /// References must outlive the network.
@@ -33,6 +34,9 @@
   /// Drops all messages from one failure domain to another until HealAll(). The
   /// opposite direction is unaffected.
   void Partition(const std::string& from_domain, const std::string& to_domain);
+  /// Drops all messages from one process to another until HealAll(). The
+  /// opposite direction is unaffected.
+  void Cut(const std::string& from, const std::string& to);
   void HealAll();
 
   /// Counts the messages and bytes that a process has sent.
@@ -63,6 +67,7 @@
   std::map<std::string, Peer> peers;
   std::map<std::string, std::string> domains;
   std::set<std::pair<std::string, std::string>> partitions;
+  std::set<std::pair<std::string, std::string>> cuts;
   std::map<std::string, Traffic> sent;
   double lost = 0;
   double duplicated = 0;
