Jobs: a woken coordinator starts no task before its entry confirms

Cause: after a pause, a coordinator takes its entries for live. Nothing bounds the time for which it acts for a caller that it has not heard of. Reading input before timers does not help while ZeroMQ's thread has not delivered it.

Change: each heartbeat confirms the receiver's latest heartbeat by the receiver's own clock, and names the one since which the sender has counted it as live without a break. Half a second after its arrival, a forwarded job starts tasks only while its entry has confirmed a heartbeat of the last 0.8 s, the time after which the entry would count the coordinator as lost. A job that arrived before the entry last found the coordinator again is given up. Entries of an older version confirm nothing and are trusted as before.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -29,6 +29,15 @@
     base::TimePoint last_heard;
     /// Whether its heartbeats arrive in time.
     bool live = false;
+    /// Its steady clock, in milliseconds, in the heartbeat since which it has
+    /// been live without a break.
+    std::uint64_t live_since_steady_ms = 0;
+    /// Own steady clock, in milliseconds, in the latest heartbeat of this
+    /// process that it has confirmed to have read; 0 if none.
+    std::uint64_t confirmed_steady_ms = 0;
+    /// Own steady clock, in milliseconds, in the heartbeat since which it has
+    /// counted this process as live without a break.
+    std::uint64_t confirmed_since_steady_ms = 0;
     /// Set when it is not live and counts as holding no endpoints: it held
     /// none, or no record in the store shows that it still runs. Until then it
     /// may still hold its endpoints behind a partition.
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -163,6 +163,16 @@
          static_cast<std::uint64_t>(age / milliseconds(1));
 }
 
+bool ClusterController::IsConfirmedBy(
+    const ClusterBoard::Member& member) const {
+  if (!member.live || !ClusterBoard::IsReceivedBy(member)) return false;
+  // A process of an older version confirms nothing.
+  if (member.confirmed_steady_ms == 0) return true;
+  const base::Duration age =
+      milliseconds(this->OwnSteadyMs() - member.confirmed_steady_ms);
+  return age < HeartbeatSender::HeartbeatTimeout(member.reported_interval);
+}
+
 void ClusterController::Announce() {
   this->parts.store.Append(
       catalog::Topic::kMembers, this->board.self.peer_address(),
@@ -447,7 +457,9 @@
       heartbeat.member().weight() != member.announce.weight() ||
       heartbeat.member().domain() != member.announce.domain();
   changed = changed ||
-            heartbeat.hears_receiver() != member.last.hears_receiver();
+            heartbeat.hears_receiver() != member.last.hears_receiver() ||
+            heartbeat.receiver_live_since_ms() >
+                member.confirmed_since_steady_ms;
   member.announce = heartbeat.member();
   member.last_heard = this->parts.clock.Now();
   for (const std::string& peer : heartbeat.peers()) this->AddMember(peer);
@@ -462,7 +474,16 @@
     member.unrelated = true;
     return;
   }
-  if (!same_process) member.held.clear();
+  if (!same_process) {
+    member.held.clear();
+    member.confirmed_steady_ms = 0;
+    member.confirmed_since_steady_ms = 0;
+  }
+  if (joined) member.live_since_steady_ms = heartbeat.steady_ms();
+  member.confirmed_steady_ms =
+      std::max(member.confirmed_steady_ms, heartbeat.receiver_steady_ms());
+  member.confirmed_since_steady_ms = std::max(
+      member.confirmed_since_steady_ms, heartbeat.receiver_live_since_ms());
   const bool holds_others = MergeHeld(heartbeat, member.held);
   // A member of another domain reports different endpoints each time. Claims of
   // endpoints there wait for the next periodic check.
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -89,6 +89,11 @@
   /// since a pause of this process, to know which process holds which endpoint.
   bool IsMembershipKnown() const;
 
+  /// Returns whether `member` has confirmed a heartbeat that this process sent
+  /// so recently that `member` cannot have counted this process as lost since.
+  /// Pauses of this process count, whether it has noticed them or not.
+  bool IsConfirmedBy(const ClusterBoard::Member& member) const;
+
   /// Returns whether this process has been a coordinator for long enough to
   /// know which other domains have coordinators.
   bool AreOtherDomainsKnown() const;
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -96,6 +96,10 @@
   wire::MemberHeartbeat& heartbeat = *envelope.mutable_member_heartbeat();
   this->hooks.fill_heartbeat(heartbeat);
   heartbeat.set_hears_receiver(member.live);
+  if (member.live) {
+    heartbeat.set_receiver_steady_ms(member.last.steady_ms());
+    heartbeat.set_receiver_live_since_ms(member.live_since_steady_ms);
+  }
   heartbeat.set_partial(detail == Detail::kChanged);
   member.reported_interval = this->IntervalTo(member);
   member.last_sent = this->clock.Now();
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -4,6 +4,13 @@
 
 namespace hawthornwheel::jobs {
 
+bool Job::IsAwaited() const {
+  return std::any_of(this->callers.begin(), this->callers.end(),
+                     [](const Caller& caller) {
+                       return !caller.is_waiting || caller.is_waiting();
+                     });
+}
+
 double Job::SlowestPace() const {
   double slowest = 0;
   for (const Task& task : this->tasks) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "base/timer.h"
@@ -20,6 +20,15 @@
 struct Job {
   enum class TaskState { kWaiting, kPlaced, kDone };
 
+  /// Waits for the answer.
+  struct Caller {
+    std::uint64_t number = 0;
+    JobResponder respond;
+    /// Returns whether the caller is known to wait still; null for a caller
+    /// whose connection ends at this process.
+    std::function<bool()> is_waiting;
+  };
+
   struct Task {
     TaskState state = TaskState::kWaiting;
     /// Number of the latest run.
@@ -69,13 +78,15 @@
   bool ended = false;
   /// Whether a run is known to have started.
   bool has_run = false;
-  /// Waiting callers: number and callback.
-  std::vector<std::pair<std::uint64_t, JobResponder>> responders;
+  std::vector<Caller> callers;
   std::unique_ptr<base::Timer> timer;
 
   /// Returns whether a run may have started or may still start.
   bool MayHaveRun() const { return this->has_run || this->placed_tasks > 0; }
 
+  /// Returns whether a caller is known to wait still.
+  bool IsAwaited() const;
+
   /// Returns the highest pace at which a placed task runs, or 0 if none is
   /// placed.
   double SlowestPace() const;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -45,6 +45,9 @@
 // other processes at once.
 constexpr base::Duration kLeavingRetry = seconds(1);
 constexpr base::Duration kNotReadyRetry = seconds(1);
+// Interval at which the placement of a job is tried again whose caller is not
+// known to wait.
+constexpr base::Duration kConfirmationRetry = milliseconds(50);
 
 base::Duration Scale(base::Duration span, double factor) {
   return base::Duration(static_cast<base::Duration::rep>(
@@ -86,6 +89,7 @@
       placer(placer),
       settings(settings),
       placement_timer(clock),
+      confirmation_timer(clock),
       expiry_timer(clock) {
   this->expiry_timer.StartPeriodic(kExpiryInterval,
                                    [this] { this->DropExpiredAnswers(); });
@@ -94,67 +98,68 @@
 JobCoordinator::~JobCoordinator() = default;
 
 std::uint64_t JobCoordinator::Submit(JobRequest request, JobResponder respond) {
-  const std::uint64_t caller = this->next_caller++;
-  if (this->JoinOrReject(request.id, caller, respond)) return caller;
+  const std::uint64_t number = this->next_caller++;
+  Job::Caller caller{number, std::move(respond), nullptr};
+  if (this->JoinOrReject(request.id, caller)) return number;
   const auto configuration = this->catalog.GetCatalog().configuration;
   if (!configuration) {
     kLog.Info("Job is rejected. job={} cause=\"no configuration\"", request.id);
-    respond({JobEnd::kNotReady, kNotReadyRetry});
-    return caller;
+    caller.respond({JobEnd::kNotReady, kNotReadyRetry});
+    return number;
   }
   const catalog::Route* route =
       configuration->FindRoute(request.host, request.path);
   if (route == nullptr) {
     kLog.Info("Job has no route. job={} host={} version={}", request.id,
               request.host, configuration->version);
-    respond({JobEnd::kNoRoute, {}});
-    return caller;
+    caller.respond({JobEnd::kNoRoute, {}});
+    return number;
   }
   if (route->requires_placement_hint) {
     kLog.Warning(
         "Job is rejected. job={} route={} cause=\"placement hint required\"",
         request.id, route->name);
-    respond({JobEnd::kRejected, kUnsupportedRetry});
-    return caller;
+    caller.respond({JobEnd::kRejected, kUnsupportedRetry});
+    return number;
   }
-  this->Begin(std::move(request), *route, configuration->version, caller,
-              std::move(respond));
-  return caller;
+  this->Begin(std::move(request), *route, configuration->version,
+              std::move(caller));
+  return number;
 }
 
 std::uint64_t JobCoordinator::Accept(JobRequest request,
                                      const catalog::Route& route,
                                      std::uint64_t version,
-                                     JobResponder respond) {
-  const std::uint64_t caller = this->next_caller++;
-  if (this->JoinOrReject(request.id, caller, respond)) return caller;
-  this->Begin(std::move(request), route, version, caller, std::move(respond));
-  return caller;
+                                     JobResponder respond,
+                                     std::function<bool()> is_waiting) {
+  const std::uint64_t number = this->next_caller++;
+  Job::Caller caller{number, std::move(respond), std::move(is_waiting)};
+  if (this->JoinOrReject(request.id, caller)) return number;
+  this->Begin(std::move(request), route, version, std::move(caller));
+  return number;
 }
 
 // Answers the caller or adds it to a job in flight. Returns false when the
 // caller needs a new job.
-bool JobCoordinator::JoinOrReject(const std::string& id, std::uint64_t caller,
-                                  JobResponder& respond) {
+bool JobCoordinator::JoinOrReject(const std::string& id, Job::Caller& caller) {
   const auto running = this->jobs.find(id);
   if (running != this->jobs.end()) {
-    running->second->responders.emplace_back(caller, std::move(respond));
+    running->second->callers.push_back(std::move(caller));
     return true;
   }
   const auto recent = this->recent_answers.find(id);
   if (recent != this->recent_answers.end()) {
-    respond({recent->second.end, {}});
+    caller.respond({recent->second.end, {}});
     return true;
   }
   if (!this->rejecting) return false;
   kLog.Info("Job is rejected. job={} cause=\"process is leaving\"", id);
-  respond({JobEnd::kRejected, kLeavingRetry});
+  caller.respond({JobEnd::kRejected, kLeavingRetry});
   return true;
 }
 
 void JobCoordinator::Begin(JobRequest request, const catalog::Route& route,
-                           std::uint64_t version, std::uint64_t caller,
-                           JobResponder respond) {
+                           std::uint64_t version, Job::Caller caller) {
   const auto job = std::make_shared<Job>();
   job->request = std::move(request);
   job->route = route;
@@ -163,7 +168,7 @@
   job->waiting_tasks = job->request.task_count;
   job->nominal_run_time = job->request.estimate;
   job->timer = std::make_unique<base::Timer>(this->clock);
-  job->responders.emplace_back(caller, std::move(respond));
+  job->callers.push_back(std::move(caller));
   this->SetTimes(*job);
   this->metrics.Count("jobs.submitted");
   this->jobs[job->request.id] = job;
@@ -211,6 +216,12 @@
   std::vector<Candidate> candidates = this->placer.Candidates();
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
+    if (!job->IsAwaited()) {
+      this->metrics.Count("jobs.unconfirmed_placements");
+      this->confirmation_timer.StartOnce(kConfirmationRetry,
+                                         [this] { this->SchedulePlacement(); });
+      continue;
+    }
     if (this->PlaceTasks(*job, candidates)) continue;
     if (!CanMeetDeadline(candidates, this->RequirementsOf(*job))) {
       this->Finish(job->request.id,
@@ -457,10 +468,11 @@
 void JobCoordinator::Abandon(const std::string& id, std::uint64_t caller) {
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
-  auto& responders = found->second->responders;
-  std::erase_if(responders,
-                [caller](const auto& item) { return item.first == caller; });
-  if (responders.empty()) this->Finish(id, JobEnd::kCancelled, "caller left");
+  auto& callers = found->second->callers;
+  std::erase_if(callers, [caller](const Job::Caller& item) {
+    return item.number == caller;
+  });
+  if (callers.empty()) this->Finish(id, JobEnd::kCancelled, "caller left");
 }
 
 bool JobCoordinator::Cancel(const std::string& id) {
@@ -503,7 +515,7 @@
       this->placer.Stop(task.placed_run);
   }
   this->metrics.Count(std::string("jobs.") + NameOf(end));
-  for (const auto& [caller, respond] : job->responders) respond(answer);
+  for (const Job::Caller& caller : job->callers) caller.respond(answer);
   this->SchedulePlacement();
 }
 
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,9 +40,12 @@
   bool Cancel(const std::string& id) override;
 
   /// Accepts a job whose route another process found in version `version` of
-  /// the configuration. Returns a number that identifies the waiting caller.
+  /// the configuration. No task is started while `is_waiting` returns false,
+  /// which tells whether that process is known to wait still. Returns a number
+  /// that identifies the waiting caller.
   std::uint64_t Accept(JobRequest request, const catalog::Route& route,
-                       std::uint64_t version, JobResponder respond);
+                       std::uint64_t version, JobResponder respond,
+                       std::function<bool()> is_waiting);
 
   /// Rejects all new jobs from now on; jobs in flight continue.
   void RejectNewJobs() { this->rejecting = true; }
@@ -76,10 +80,9 @@
     base::TimePoint ended_at;
   };
 
-  bool JoinOrReject(const std::string& id, std::uint64_t caller,
-                    JobResponder& respond);
+  bool JoinOrReject(const std::string& id, Job::Caller& caller);
   void Begin(JobRequest request, const catalog::Route& route,
-             std::uint64_t version, std::uint64_t caller, JobResponder respond);
+             std::uint64_t version, Job::Caller caller);
   void SetTimes(Job& job) const;
   bool PlaceTasks(Job& job, std::vector<Candidate>& candidates);
   bool PlaceTask(Job& job, std::size_t index, Candidate& candidate,
@@ -114,6 +117,8 @@
   std::uint64_t next_caller = 1;
   bool rejecting = false;
   base::Timer placement_timer;
+  /// Repeats the placement while the caller of a job is not known to wait.
+  base::Timer confirmation_timer;
   base::Timer expiry_timer;
 };
 
--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -27,6 +27,10 @@
 // An abandon message may be lost with a connection that was reset, so it is
 // sent again.
 constexpr base::Duration kAbandonRetryInterval = milliseconds(150);
+// Time after its arrival in which a job needs no confirmation that its entry
+// process still waits. A caller that lost the entry or the coordinator submits
+// the job again 1.3 s later.
+constexpr base::Duration kForwardValidity = milliseconds(500);
 // Time by which the answer of a coordinator may arrive after the deadline of
 // the job.
 constexpr base::Duration kAnswerSlack = milliseconds(60);
@@ -192,17 +196,40 @@
   }
   this->parts.metrics.Count("relay.hosted");
   // The coordinator may answer before Accept() returns.
-  this->hosted[key] = {job.id(), 0};
+  this->hosted[key] = {job.id(), 0, this->parts.clock.Now(), now};
   const std::uint64_t caller = this->parts.coordinator.Accept(
       RequestOf(job), RouteOf(job), job.config_version(),
       [this, key](const JobAnswer& answer) {
         this->hosted.erase(key);
         this->SendAnswer(key, answer);
-      });
+      },
+      [this, key] { return this->IsWaiting(key); });
   const auto hosting = this->hosted.find(key);
   if (hosting != this->hosted.end()) hosting->second.caller = caller;
 }
 
+// Returns whether the entry process of a hosted job is known to have answered
+// the caller: it is lost, or has counted this process as lost since.
+bool JobRelay::IsGivenUp(const HostedKey& key, const HostedJob& job) const {
+  const cluster::ClusterBoard::Member* entry =
+      this->parts.cluster.Board().FindLive(key.address);
+  return entry == nullptr || entry->announce.incarnation() != key.incarnation ||
+         !cluster::ClusterBoard::IsReceivedBy(*entry) ||
+         entry->confirmed_since_steady_ms > job.arrival_steady_ms;
+}
+
+// Returns whether the entry process of a hosted job is known to wait still. It
+// waits when it forwards the job, and until it counts this process as lost.
+bool JobRelay::IsWaiting(const HostedKey& key) const {
+  const auto found = this->hosted.find(key);
+  if (found == this->hosted.end()) return false;
+  if (this->IsGivenUp(key, found->second)) return false;
+  const base::Duration age = this->parts.clock.Now() - found->second.arrival;
+  return age < kForwardValidity ||
+         this->parts.cluster.IsConfirmedBy(
+             *this->parts.cluster.Board().FindLive(key.address));
+}
+
 void JobRelay::SendAnswer(const HostedKey& key, const JobAnswer& answer) {
   wire::Envelope envelope;
   wire::HandedJobAnswer& body = *envelope.mutable_handed_job_answer();
@@ -269,8 +296,8 @@
     this->GiveUp(number, JobEnd::kInterrupted, "coordinator was lost");
   }
   std::vector<HostedJob> orphaned_jobs;
-  std::erase_if(this->hosted, [&is_lost, &orphaned_jobs](const auto& item) {
-    if (!is_lost(item.first.address, item.first.incarnation)) return false;
+  std::erase_if(this->hosted, [this, &orphaned_jobs](const auto& item) {
+    if (!this->IsGivenUp(item.first, item.second)) return false;
     orphaned_jobs.push_back(item.second);
     return true;
   });
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -95,6 +95,9 @@
   struct HostedJob {
     std::string id;
     std::uint64_t caller = 0;
+    base::TimePoint arrival;
+    /// Own steady clock in milliseconds at its arrival.
+    std::uint64_t arrival_steady_ms = 0;
   };
   /// Identifies a hosted job by address and incarnation of its entry process
   /// and by its number there.
@@ -117,6 +120,8 @@
                const JobRequest& request, const catalog::Route& route,
                std::uint64_t version);
   void ReceiveJob(const wire::Envelope& envelope);
+  bool IsGivenUp(const HostedKey& key, const HostedJob& job) const;
+  bool IsWaiting(const HostedKey& key) const;
   void ReceiveAnswer(const wire::Envelope& envelope);
   void ReceiveAbandon(const wire::Envelope& envelope);
   void SendAnswer(const HostedKey& key, const JobAnswer& answer);
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -74,7 +74,8 @@
     route.max_attempts = 4;
     const std::uint64_t caller = this->coordinator.Accept(
         request, route, 1,
-        [this](const JobAnswer& answer) { this->answers.push_back(answer); });
+        [this](const JobAnswer& answer) { this->answers.push_back(answer); },
+        nullptr);
     this->clock.Advance(milliseconds(1));
     return caller;
   }
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -169,6 +169,47 @@
   EXPECT_EQ(this->Running(), 1U);
 }
 
+// Guards against a task that runs twice: a coordinator wakes with a job that was
+// given up while it was frozen, and the messages that say so are lost.
+TEST_F(JobRelayTest, WokenCoordinatorStartsNoTaskBeforeItsEntryConfirms) {
+  const auto answer =
+      this->fleet.Submit("weak0", kLongTimeoutPath, 1, seconds(5));
+  this->fleet.Run(milliseconds(100));
+  HostedProcess& frozen = this->CoordinatorOfOpenJob();
+  frozen.clock.Pause();
+  this->fleet.network.Cut("weak0", frozen.name);
+  this->fleet.Run(milliseconds(1'400));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((**answer).end, JobEnd::kInterrupted);
+  const std::uint64_t starts = this->fleet.endpoints.Starts();
+  frozen.clock.Resume();
+  this->fleet.Run(milliseconds(500));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), starts);
+  this->fleet.network.HealAll();
+  this->fleet.Run(milliseconds(200));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), starts);
+  EXPECT_EQ(frozen.jobs.OpenJobs(), 0U);
+}
+
+// A task that has to be started again in a calm fleet waits for nobody.
+TEST_F(JobRelayTest, LostRunIsStartedAgainWhileEntryConfirms) {
+  const auto answer =
+      this->fleet.Submit("weak0", kLongTimeoutPath, 1, seconds(2));
+  this->fleet.Run(seconds(1));
+  for (int i = 0; i < kEndpoints; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    if (this->fleet.endpoints.RunningAt(id) > 0) {
+      this->fleet.endpoints.Restart(id);
+      break;
+    }
+  }
+  this->fleet.Run(milliseconds(400));
+  EXPECT_EQ(this->Running(), 1U);
+  this->fleet.Run(milliseconds(2'000));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((**answer).end, JobEnd::kComplete);
+}
+
 // Guards against a task that runs twice: the entry does not hear the
 // coordinator and answers the caller; the coordinator hears the entry and goes
 // on.
