Remote runs: a stop does not overtake the placement that it is for

Cause: a placement at another process is sent at the end of the loop iteration with others, a stop at once. A job that ended in the iteration in which its tasks were placed ("cannot meet the deadline", a caller that left) sent the stop first. The holder did not know the placement and reported it as lost; then the placement arrived and ran to its end, beside the run of the job that the caller submitted again 1.3 s later. The record has such ends (end=interrupted cause="cannot meet the deadline") and fits in the rest; that it was this path there is not proved.

Change: a placement that is not sent yet is withdrawn and ends as not run.

Evidence: HostedRulesTest.TaskStoppedAtOnceAfterItsPlacementDoesNotRun fails when the change is taken out.

--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -1,5 +1,6 @@
 #include "runs/remote_runs.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -102,10 +103,31 @@
 void RemoteRuns::Stop(std::uint64_t placement) {
   const auto found = this->placements.find(placement);
   if (found == this->placements.end()) return;
+  if (this->Withdraw(placement, found->second.address)) {
+    this->End(placement, RunOutcome::kNotRun);
+    return;
+  }
   found->second.stopping = true;
   this->SendStop(placement, found->second);
 }
 
+// Removes a placement from the request that is sent at the next flush. A stop
+// would overtake it, and the task would run on with nobody waiting for it.
+// Returns false when the request was sent.
+bool RemoteRuns::Withdraw(std::uint64_t placement, const std::string& address) {
+  const auto pending = this->pending_requests.find(address);
+  if (pending == this->pending_requests.end()) return false;
+  auto& tasks = *pending->second.mutable_place()->mutable_tasks();
+  const auto task = std::find_if(
+      tasks.begin(), tasks.end(), [placement](const wire::PlacedTask& item) {
+        return item.placement() == placement;
+      });
+  if (task == tasks.end()) return false;
+  tasks.erase(task);
+  if (tasks.empty()) this->pending_requests.erase(pending);
+  return true;
+}
+
 void RemoteRuns::SendStop(std::uint64_t id, Placement& placement) {
   placement.stop_sent = this->clock.Now();
   wire::Envelope envelope;
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -98,6 +98,7 @@
   /// process that placed it, and by the number of the placement there.
   using HostedKey = std::tuple<std::string, std::string, std::uint64_t>;
 
+  bool Withdraw(std::uint64_t placement, const std::string& address);
   void SendStop(std::uint64_t id, Placement& placement);
   void Flush();
   void ReceivePlace(const wire::Envelope& envelope);
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -442,6 +442,30 @@
   EXPECT_EQ(this->RunningIn("south"), 0U);
 }
 
+// Guards against a task that runs on after its job has ended, beside the run of
+// the job that is submitted again: a stop in the same iteration of the loop as
+// the placement overtook the request.
+TEST_F(HostedRulesTest, TaskStoppedAtOnceAfterItsPlacementDoesNotRun) {
+  this->StartTwoDomains();
+  runs::TaskOrder order;
+  order.task = "t";
+  order.endpoint = this->fleet.Process("south0").pool.Sessions().begin()->first;
+  order.payload = "p";
+  order.resources = {6'800, 64, 0};
+  this->fleet.endpoints.SetTask("p", seconds(1), RunEndKind::kDone);
+  std::vector<runs::RunOutcome> ends;
+  runs::RunHandlers handlers;
+  handlers.on_end = [&ends](runs::RunOutcome outcome) {
+    ends.push_back(outcome);
+  };
+  runs::RemoteRuns& remote = this->fleet.Process("north0").remote;
+  remote.Stop(remote.Place("south0", order, handlers));
+  this->fleet.Run(milliseconds(500));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 0U);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0], runs::RunOutcome::kNotRun);
+}
+
 // A process that receives no messages gives up its runs at other processes.
 // The other processes still receive its messages, so they would continue the
 // runs. The process detects the partition within 1 s and restarts the tasks
