Platform: check the numbers and ids of entries and configurations

Reported by operators of similar systems: one odd entry of another writer, deeply nested, with a number too large or a port out of range, ended the machines that read the list or stopped them from following it.

Here: deep nesting and ports above 65535 did no harm. Numbers beyond the range of an integer were converted without a check; port 0 and a negative capacity were taken; an id that is not UTF-8 made the heartbeats of its holder unreadable, and one with a line break added header lines to orders; long time spans overflowed.

--- a/src/libs/catalog/catalog_controller.cc
+++ b/src/libs/catalog/catalog_controller.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "base/excerpt.h"
 #include "base/logger.h"
 
 namespace hawthornwheel::catalog {
@@ -134,7 +135,7 @@
   if (!entry) {
     kLog.Warning(
         "Endpoint entry is skipped. endpoint={} offset={} cause=\"{}\"",
-        record.key, record.offset, entry.GetError().detail);
+        base::Excerpt(record.key), record.offset, entry.GetError().detail);
     return;
   }
   Catalog::Endpoint& endpoint = this->catalog.endpoints[record.key];
--- a/tests/platform/json_record_decoder_test.cc
+++ b/tests/platform/json_record_decoder_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <string>
 
 namespace hawthornwheel::platform {
 namespace {
@@ -47,6 +48,72 @@
   EXPECT_EQ(entry->incarnation_start_ms, 1'700'000'000'000);
 }
 
+std::string EntryWith(const std::string& address, const std::string& more) {
+  return R"({"service":"s","addr":")" + address +
+         R"(","zone":"z","state":"ready","capacity":{"cpu":16000})" + more +
+         "}";
+}
+
+// Guards against processes that end on an entry that another program wrote: a
+// deep value is read and dropped again without recursion.
+TEST(RecordCodecTest, DeeplyNestedEntryIsDecoded) {
+  constexpr std::size_t kDepth = 500'000;
+  const std::string deep =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto entry = JsonRecordDecoder().DecodeEndpoint(
+      "i-1", EntryWith("10.0.0.9:80", R"(,"labels":)" + deep));
+  ASSERT_TRUE(entry.HasValue());
+  EXPECT_TRUE(entry->labels.empty());
+  EXPECT_FALSE(JsonRecordDecoder().DecodeEndpoint("i-1", deep).HasValue());
+}
+
+// Guards against an endpoint id that adds header lines to orders, or that makes
+// the heartbeats in which it is listed unreadable.
+TEST(RecordCodecTest, EndpointIdMustBeVisibleText) {
+  const std::string entry = EntryWith("10.0.0.9:80", "");
+  EXPECT_TRUE(JsonRecordDecoder().DecodeEndpoint("i-1", entry).HasValue());
+  for (const char* id : {"", "a b", "a\r\nX-Y: z", "\xff\xfe", "a\x7f"}) {
+    EXPECT_FALSE(JsonRecordDecoder().DecodeEndpoint(id, entry).HasValue())
+        << id;
+  }
+}
+
+// Checks that the decoder rejects entries with numbers that no endpoint has.
+class OddEndpointTest : public ::testing::TestWithParam<std::string> {};
+
+TEST_P(OddEndpointTest, IsRejected) {
+  EXPECT_FALSE(
+      JsonRecordDecoder().DecodeEndpoint("i-1", GetParam()).HasValue());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, OddEndpointTest,
+    ::testing::Values(
+        EntryWith("10.0.0.9:70000", ""), EntryWith("10.0.0.9:0", ""),
+        EntryWith("10.0.0.9:-1", ""),
+        EntryWith("10.0.0.9:99999999999999999999", ""),
+        EntryWith("10.0.0.9:80", R"(,"born":1e400)"),
+        EntryWith("10.0.0.9:80", R"(,"born":1e300)"),
+        EntryWith("10.0.0.9:80", R"(,"born":18446744073709551615)"),
+        EntryWith("10.0.0.9:80", R"(,"born":-1)"),
+        R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+        R"("capacity":{"cpu":1e300}})",
+        R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+        R"("capacity":{"cpu":-1}})",
+        R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+        R"("capacity":{"memMb":18446744073709551615}})"));
+
+// Guards against a span that overflows when it is added to a time.
+TEST(RecordCodecTest, SpansOfRoutesAreBounded) {
+  const auto configuration = JsonRecordDecoder().DecodeConfiguration(
+      R"({"version":1,"routes":[{"name":"a","host":"h","prefix":"/p/",
+      "timeoutMs":9007199254740992,"sloMs":-5}]})");
+  ASSERT_TRUE(configuration.HasValue());
+  const catalog::Route* route = configuration->FindRoute("h", "/p/x");
+  EXPECT_EQ(route->timeout, std::chrono::hours(24));
+  EXPECT_EQ(route->objective_slack, milliseconds(0));
+}
+
 // Checks that the decoder rejects invalid endpoint records, which other
 // programs may write.
 class InvalidEndpointTest : public ::testing::TestWithParam<const char*> {};
