Runs: only a list of runs shows that an endpoint has restarted

What was seen: an entry that names a start far in the future (written by another program) made the holder drop all runs of the endpoint, ignore every later list of its runs and poll it again at once.

Cause: the start in the entry was taken for that of the incarnation, and lists with an earlier one were dropped.

Change: a newer entry makes the holder ask for a list, which decides.

Evidence: EndpointSessionTest.EntryAloneDoesNotShowRestart fails when the entry decides again.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -115,8 +115,15 @@
 EndpointSession::~EndpointSession() { *this->callback_guard = false; }
 
 void EndpointSession::UpdateEntry(const catalog::EndpointEntry& new_entry) {
-  if (!this->CheckIncarnation(new_entry.incarnation_start_ms)) return;
+  const bool newer = new_entry.incarnation_start_ms >
+                     std::max(this->entry.incarnation_start_ms,
+                              this->incarnation_start_ms);
   this->entry = new_entry;
+  // Another program may have written the entry, so only a list of runs shows a
+  // restart.
+  if (newer && this->state == SessionState::kReady) {
+    this->Poll(base::Duration{0}, false);
+  }
 }
 
 bool EndpointSession::IsOpen() const {
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -190,6 +190,23 @@
   EXPECT_EQ(this->ends[0].second, RunOutcome::kDone);
 }
 
+// Guards against an endpoint that is asked again and again and never used: its
+// entry, which another program wrote, names a start far in the future.
+TEST_F(EndpointSessionTest, EntryAloneDoesNotShowRestart) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  catalog::EndpointEntry odd = this->entry;
+  odd.incarnation_start_ms = 9'000'000'000'000;
+  this->session->UpdateEntry(odd);
+  this->session->UpdateEntry(odd);
+  ASSERT_EQ(this->orders.polls.size(), 3U);
+  this->AnswerPoll(2, OrderOutcome::kAccepted, {{"a", 1, 10}});
+  EXPECT_TRUE(this->ends.empty());
+  EXPECT_TRUE(this->Start("b"));
+  EXPECT_LE(this->orders.polls.size(), 4U);
+}
+
 TEST_F(EndpointSessionTest, UnansweredStartBeforeRestartEndsAsLost) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("open"));
