Runs: notice a restart with a clock that was set back

Cause: lists that name an earlier start than the known one were dropped, as answers of an older incarnation.

Change: a list that was asked for after the incarnation was known cannot come from an older one, so an earlier start in it is a restart.

Evidence: EndpointSessionTest.RestartWithEarlierClockIsNoticed fails when the change is taken out.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -313,12 +313,22 @@
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
       order, [this, order, generation = this->poll_generation,
+              incarnation = this->incarnation_start_ms,
               guard = this->callback_guard](const PollReply& reply) {
         if (!*guard) return;
         const bool is_current = generation == this->poll_generation;
         if (is_current) --this->polls_in_flight;
         const bool lost = reply.order.outcome == OrderOutcome::kUnanswered;
         if (lost && !is_current) return;
+        // The endpoint was asked after its incarnation was known, so it has
+        // restarted since, with a clock that was set back.
+        const std::int64_t answering = reply.order.incarnation_start_ms;
+        if (answering != 0 && answering < incarnation &&
+            incarnation == this->incarnation_start_ms) {
+          this->incarnation_start_ms = answering;
+          this->OnRestart();
+          return;
+        }
         this->OnPollReply(order, reply);
       });
 }
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -207,6 +207,21 @@
   EXPECT_LE(this->orders.polls.size(), 4U);
 }
 
+// Guards against an endpoint whose lists are ignored for good: its clock was
+// set back before it restarted.
+TEST_F(EndpointSessionTest, RestartWithEarlierClockIsNoticed) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {{"a", 1, 10}});
+  --this->incarnation_start_ms;
+  this->AnswerPoll(2, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  EXPECT_TRUE(this->Start("b"));
+}
+
 TEST_F(EndpointSessionTest, UnansweredStartBeforeRestartEndsAsLost) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("open"));
