Runs: use a restarted endpoint only with its new entry

Cause: a session kept the labels and the capacity of the old entry after a restart, and dropped the first entry of the new incarnation. A process that places tasks there learned of the new entry even later.

Change: after a restart the session is closed until an entry names the incarnation that answers. A placement names the incarnation whose entry it was chosen by; the holder refuses it when it has another one.

Evidence: EndpointSessionTest.RestartedEndpointIsUsedOnlyWithItsNewEntry and TaskPlacedByOldEntryIsRefused fail when the change is taken out.

--- a/src/libs/cluster/held_endpoint.h
+++ b/src/libs/cluster/held_endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
   /// Learned ratio of the actual to the declared run time.
   double pace = 1;
   std::vector<std::string> labels;
+  /// Start of the incarnation that the fields describe, in Unix milliseconds; 0
+  /// if unknown.
+  std::int64_t incarnation_start_ms = 0;
 };
 
 }  // namespace hawthornwheel::cluster
--- a/src/libs/jobs/candidate.h
+++ b/src/libs/jobs/candidate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,9 @@
   double pace = 1;
   /// Labels of the endpoint; null for none.
   const std::vector<std::string>* labels = nullptr;
+  /// Start of the incarnation that has these labels and this capacity, in Unix
+  /// milliseconds; 0 if unknown.
+  std::int64_t incarnation_start_ms = 0;
 };
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -44,6 +44,7 @@
     candidate.free = session->Free();
     candidate.pace = session->Health().Pace();
     candidate.labels = &session->Entry().labels;
+    candidate.incarnation_start_ms = session->Entry().incarnation_start_ms;
   }
 }
 
@@ -65,6 +66,7 @@
       candidate.distance = distance;
       candidate.pace = held.pace;
       candidate.labels = &held.labels;
+      candidate.incarnation_start_ms = held.incarnation_start_ms;
       // Under load, most endpoints have no free capacity, and the look-ups
       // below would be most of the work.
       if (held.free.cpu_milli <= 0 || this->remote.IsRefused(member, id))
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -289,6 +289,7 @@
   order.task = fmt::format("{}.0.0.{}", job.request.id, index);
   order.run = ++task.run;
   order.endpoint = std::string(candidate.endpoint);
+  order.incarnation_start_ms = candidate.incarnation_start_ms;
   order.payload = job.request.payload;
   order.resources = job.request.resources;
   // The estimate includes the factor for the distance to the data, so that the
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -34,6 +34,7 @@
   const catalog::Resources free = session.Free();
   held.set_open(true);
   held.set_service(session.Entry().service);
+  held.set_incarnation_start_ms(session.Entry().incarnation_start_ms);
   held.set_free_cpu_milli(static_cast<std::uint32_t>(free.cpu_milli));
   held.set_free_memory_mb(static_cast<std::uint32_t>(free.memory_mb));
   held.set_free_accelerators(static_cast<std::uint32_t>(free.accelerators));
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 #include <vector>
 
 #include "base/logger.h"
@@ -119,6 +120,11 @@
                      std::max(this->entry.incarnation_start_ms,
                               this->incarnation_start_ms);
   this->entry = new_entry;
+  if (new_entry.incarnation_start_ms == 0 ||
+      new_entry.incarnation_start_ms == this->incarnation_start_ms) {
+    const bool was_outdated = std::exchange(this->entry_outdated, false);
+    if (was_outdated) this->on_change();
+  }
   // Another program may have written the entry, so only a list of runs shows a
   // restart.
   if (newer && this->state == SessionState::kReady) {
@@ -128,7 +134,7 @@
 
 bool EndpointSession::IsOpen() const {
   return this->state == SessionState::kReady && !this->closed &&
-         !this->entry.draining &&
+         !this->entry_outdated && !this->entry.draining &&
          this->health.IsOpen(this->parts.clock.Now(),
                              static_cast<int>(this->runs.size()));
 }
@@ -144,6 +150,10 @@
 
 bool EndpointSession::Start(const TaskOrder& order, RunHandlers handlers) {
   if (!this->IsOpen() || !order.resources.FitsInto(this->Free())) return false;
+  if (order.incarnation_start_ms != this->entry.incarnation_start_ms &&
+      order.incarnation_start_ms != 0) {
+    return false;
+  }
   const RunKey key{order.task, order.run};
   if (this->runs.contains(key)) return false;
   const base::TimePoint now = this->parts.clock.Now();
@@ -604,12 +614,19 @@
   const bool first = this->incarnation_start_ms == 0;
   if (reported_start_ms < this->incarnation_start_ms) return false;
   this->incarnation_start_ms = reported_start_ms;
-  if (first) return true;
+  if (first) {
+    this->entry_outdated = this->entry.incarnation_start_ms != 0 &&
+                           this->entry.incarnation_start_ms < reported_start_ms;
+    return true;
+  }
   this->OnRestart();
   return false;
 }
 
 void EndpointSession::OnRestart() {
+  this->entry_outdated =
+      this->entry.incarnation_start_ms != 0 &&
+      this->entry.incarnation_start_ms != this->incarnation_start_ms;
   this->clock_ms = 0;
   this->seen_end_seq = 0;
   this->acked_end_seq = 0;
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -80,7 +80,8 @@
   catalog::Resources Free() const;
 
   /// Starts a task. Returns false without any effect when the endpoint is not
-  /// open, has too few free resources, or already has this run.
+  /// open, has too few free resources, already has this run, or was chosen by
+  /// the entry of another incarnation.
   bool Start(const TaskOrder& order, RunHandlers handlers);
 
   /// Stops a run. Its handler is called when it has ended.
@@ -149,6 +150,9 @@
   EndpointHealth health;
   SessionState state = SessionState::kClaiming;
   bool closed = false;
+  /// Whether `entry` describes an earlier incarnation of the endpoint. The new
+  /// one may be of another kind.
+  bool entry_outdated = false;
   std::uint64_t fence = 0;
   std::map<RunKey, Run> runs;
   /// Highest sequence number of an end that was processed.
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -71,6 +71,7 @@
   task.set_task(order.task);
   task.set_run(order.run);
   task.set_endpoint(order.endpoint);
+  task.set_incarnation_start_ms(order.incarnation_start_ms);
   task.set_payload(order.payload);
   task.set_cpu_milli(static_cast<std::uint32_t>(order.resources.cpu_milli));
   task.set_memory_mb(static_cast<std::uint32_t>(order.resources.memory_mb));
@@ -199,6 +200,7 @@
     order.task = task.task();
     order.run = task.run();
     order.endpoint = task.endpoint();
+    order.incarnation_start_ms = task.incarnation_start_ms();
     order.payload = task.payload();
     order.resources = {task.cpu_milli(), task.memory_mb(), task.accelerators()};
     order.estimate = milliseconds(task.estimate_ms());
--- a/src/libs/runs/task_order.h
+++ b/src/libs/runs/task_order.h
@@ -35,6 +35,9 @@
   /// Run number; rises with each start of the task.
   std::uint64_t run = 1;
   std::string endpoint;
+  /// Start of the endpoint's incarnation whose entry was chosen, in Unix
+  /// milliseconds; 0 if unknown.
+  std::int64_t incarnation_start_ms = 0;
   std::string payload;
   catalog::Resources resources;
   /// Expected run time at an endpoint of pace 1, with the distance to the data
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -222,6 +222,41 @@
   EXPECT_TRUE(this->Start("b"));
 }
 
+// Guards against tasks at an endpoint of the wrong kind or beyond its capacity:
+// it has restarted as another kind, and its entry is not read yet (review case
+// 4).
+TEST_F(EndpointSessionTest, RestartedEndpointIsUsedOnlyWithItsNewEntry) {
+  this->entry.incarnation_start_ms = this->incarnation_start_ms;
+  this->session->UpdateEntry(this->entry);
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  ++this->incarnation_start_ms;
+  this->AnswerPoll(1, OrderOutcome::kAccepted);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  this->session->UpdateEntry(this->entry);
+  EXPECT_FALSE(this->session->IsOpen());
+  this->entry.incarnation_start_ms = this->incarnation_start_ms;
+  this->entry.capacity.cpu_milli = 8'000;
+  this->session->UpdateEntry(this->entry);
+  EXPECT_TRUE(this->session->IsOpen());
+  EXPECT_EQ(this->session->Free().cpu_milli, 8'000);
+}
+
+// A process that places a task at an endpoint of another process may not know
+// the new entry yet.
+TEST_F(EndpointSessionTest, TaskPlacedByOldEntryIsRefused) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  this->entry.incarnation_start_ms = this->incarnation_start_ms;
+  this->session->UpdateEntry(this->entry);
+  runs::TaskOrder order;
+  order.task = "a";
+  order.incarnation_start_ms = this->incarnation_start_ms - 1;
+  EXPECT_FALSE(this->session->Start(order, {}));
+  order.incarnation_start_ms = this->incarnation_start_ms;
+  EXPECT_TRUE(this->session->Start(order, {}));
+}
+
 TEST_F(EndpointSessionTest, UnansweredStartBeforeRestartEndsAsLost) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("open"));
