Runs: an idle endpoint lists its runs before it gets a task

Cause: idle endpoints are not polled, and orders to a restarted endpoint are taken as before, since it keeps its id.

Change: when no list was read in the last 50 ms and none is under way, the start order waits for one; when it shows a restart or does not come, the task is not run and placed elsewhere. This costs one round trip and one poll for the first task on an idle endpoint; the poll that followed the start anyway stays.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -19,6 +19,9 @@
 // long by the local clock. The margin covers rounding and network delay.
 constexpr int kSlowClockPercent = 102;
 constexpr base::Duration kLeaseMargin = milliseconds(30);
+// Time after the last list of runs in which no restart of the endpoint is
+// expected; a restart takes longer.
+constexpr base::Duration kListValidity = milliseconds(50);
 // Failed polls in a row after which the endpoint counts as unreachable.
 constexpr int kMaxPollFailures = 2;
 constexpr base::Duration kMinProbeBackoff = milliseconds(250);
@@ -101,6 +104,7 @@
       fence(
           parts.tokens.NextClaim(parts.clock.WallMilliseconds(), fence_floor)),
       clock_read(parts.clock.Now()),
+      last_list(parts.clock.Now()),
       lease_expiry(parts.clock.Now()),
       poll_timer(parts.clock),
       lease_expiry_timer(parts.clock) {
@@ -156,22 +160,50 @@
   }
   const RunKey key{order.task, order.run};
   if (this->runs.contains(key)) return false;
-  const base::TimePoint now = this->parts.clock.Now();
+  const bool verified = this->IsVerified();
   Run& run = this->runs[key];
   run.order = order;
   run.handlers = std::move(handlers);
+  run.deadline = this->parts.clock.Now() + order.time_left;
+  run.timer = std::make_unique<base::Timer>(this->parts.clock);
+  if (verified) {
+    this->SendStart(key);
+    if (this->polls_in_flight == 0) this->Poll(this->PollWait(), false);
+  } else {
+    run.state = RunState::kHeld;
+    run.timer->StartOnce(this->parts.settings.recheck_after,
+                         [this] { this->Recheck(); });
+    if (this->polls_in_flight == 0) this->Poll(base::Duration{0}, false);
+  }
+  return true;
+}
+
+// Returns whether a restart of the endpoint would have been noticed by now: its
+// list of runs was read a moment ago, or a request for it is in flight.
+bool EndpointSession::IsVerified() const {
+  const bool has_held =
+      std::any_of(this->runs.begin(), this->runs.end(), [](const auto& item) {
+        return item.second.state == RunState::kHeld;
+      });
+  if (has_held) return false;
+  return this->polls_in_flight > 0 ||
+         this->parts.clock.Now() - this->last_list <= kListValidity;
+}
+
+void EndpointSession::SendStart(const RunKey& key) {
+  const base::TimePoint now = this->parts.clock.Now();
+  Run& run = this->runs.at(key);
+  run.state = RunState::kStarting;
   run.fence = this->fence;
   run.started = now;
   run.progress = RunProgress(now);
-  run.deadline = now + order.time_left;
-  run.timer = std::make_unique<base::Timer>(this->parts.clock);
   run.timer->StartOnce(this->parts.settings.recheck_after,
                        [this] { this->Recheck(); });
   StartOrder start;
   start.target = this->Target(this->parts.settings.lease);
-  start.task = order.task;
-  start.run = order.run;
-  start.payload = order.payload;
+  start.task = run.order.task;
+  start.run = run.order.run;
+  start.payload = run.order.payload;
   start.lease_until_ms = this->LeaseUntil();
   this->lease_expiry =
       std::max(this->lease_expiry,
@@ -183,8 +215,24 @@
               guard = this->callback_guard](const OrderReply& reply) {
         if (*guard) this->OnStartReply(key, order_fence, reply);
       });
-  if (this->polls_in_flight == 0) this->Poll(this->PollWait(), false);
-  return true;
+}
+
+void EndpointSession::SendHeld() {
+  for (const RunKey& key : this->HeldRuns()) this->SendStart(key);
+}
+
+void EndpointSession::EndHeld() {
+  for (const RunKey& key : this->HeldRuns()) {
+    this->End(key, RunOutcome::kNotRun);
+  }
+}
+
+std::vector<EndpointSession::RunKey> EndpointSession::HeldRuns() const {
+  std::vector<RunKey> held;
+  for (const auto& [key, run] : this->runs) {
+    if (run.state == RunState::kHeld) held.push_back(key);
+  }
+  return held;
 }
 
 void EndpointSession::OnStartReply(const RunKey& key, std::uint64_t order_fence,
@@ -255,6 +303,10 @@
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
   if (found->second.state == RunState::kStopping) return;
+  if (found->second.state == RunState::kHeld) {
+    this->End(key, RunOutcome::kNotRun);
+    return;
+  }
   found->second.state = RunState::kStopping;
   this->SendStop(key);
 }
@@ -439,11 +491,13 @@
   this->failures = 0;
   this->fence_raises = 0;
   this->lease_expiry_timer.Stop();
+  this->last_list = this->parts.clock.Now();
   if (order.target.fence == this->fence) {
     this->recheck_due = false;
     if (this->state != SessionState::kReady) {
       this->SetState(SessionState::kReady, "poll was answered");
     }
+    this->SendHeld();
   }
   this->on_change();
   // A poll without a wait often follows a lost answer, so an older poll may be
@@ -466,6 +520,7 @@
   }
   if (this->state != SessionState::kUnreachable) {
     this->SetState(SessionState::kUnreachable, reply.cause.c_str());
+    this->EndHeld();
     const base::Duration left = std::max(
         base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
     this->lease_expiry_timer.StartOnce(left, [this] {
@@ -493,6 +548,7 @@
       "Another process holds the endpoint. endpoint={} fence={} runs={}",
       this->entry.id, order_fence, this->runs.size());
   this->SetState(SessionState::kFencedOff, "higher fencing token");
+  this->EndHeld();
   const base::Duration left =
       std::max(base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
   this->lease_expiry_timer.StartOnce(
@@ -528,6 +584,7 @@
   }
   std::vector<std::pair<RunKey, RunOutcome>> ended_runs;
   for (auto& [key, run] : this->runs) {
+    if (run.state == RunState::kHeld) continue;
     if (present.contains(key)) {
       run.start_answered = true;
       run.incarnation_start_ms = this->incarnation_start_ms;
@@ -631,6 +688,8 @@
   this->seen_end_seq = 0;
   this->acked_end_seq = 0;
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
+  // Held runs were placed by the entry of the previous incarnation.
+  this->EndHeld();
   std::vector<RunKey> lost;
   // The new incarnation may have accepted a start before this process noticed
   // the restart. Its list of runs decides about the runs that no list of the
@@ -685,6 +744,7 @@
 }
 
 void EndpointSession::EndAllAsLost(const char* cause) {
+  this->EndHeld();
   if (this->runs.empty()) return;
   kLog.Warning("Runs are lost. endpoint={} runs={} cause=\"{}\"",
                this->entry.id, this->runs.size(), cause);
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/timer.h"
 #include "catalog/endpoint_entry.h"
@@ -90,7 +91,14 @@
  private:
   using RunKey = std::pair<std::string, std::uint64_t>;
 
-  enum class RunState { kStarting, kRunning, kStopping };
+  enum class RunState {
+    /// The start order is not sent before the endpoint has listed its runs, so
+    /// that a restart of an idle endpoint is noticed first.
+    kHeld,
+    kStarting,
+    kRunning,
+    kStopping,
+  };
 
   struct Run {
     RunState state = RunState::kStarting;
@@ -117,7 +125,11 @@
     std::unique_ptr<base::Timer> timer;
   };
 
-  void Claim();
+  bool IsVerified() const;
+  void SendStart(const RunKey& key);
+  void SendHeld();
+  void EndHeld();
+  std::vector<RunKey> HeldRuns() const;
   void Poll(base::Duration wait, bool raise_fence);
   void PollAgain();
   void RaiseFence();
@@ -165,6 +177,8 @@
   /// of that reading.
   std::int64_t clock_ms = 0;
   base::TimePoint clock_read;
+  /// Time of the last list of runs.
+  base::TimePoint last_list;
   /// Latest time by the local clock at which the leases expire without a
   /// further renewal.
   base::TimePoint lease_expiry;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -257,6 +257,43 @@
   EXPECT_TRUE(this->session->Start(order, {}));
 }
 
+// Guards against a task at an endpoint of the wrong kind: an idle endpoint has
+// restarted unnoticed (review case 4).
+TEST_F(EndpointSessionTest, IdleEndpointListsItsRunsBeforeStart) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  this->clock.Advance(seconds(5));
+  ASSERT_TRUE(this->Start("a"));
+  ASSERT_TRUE(this->Start("b"));
+  EXPECT_TRUE(this->orders.starts.empty());
+  ASSERT_EQ(this->orders.polls.size(), 2U);
+  this->AnswerPoll(1, OrderOutcome::kAccepted);
+  EXPECT_EQ(this->orders.starts.size(), 2U);
+  EXPECT_EQ(this->orders.polls.size(), 3U);
+}
+
+TEST_F(EndpointSessionTest, NoTaskStartsWhenIdleEndpointHasRestarted) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  this->clock.Advance(seconds(5));
+  ASSERT_TRUE(this->Start("a"));
+  ++this->incarnation_start_ms;
+  this->AnswerPoll(1, OrderOutcome::kAccepted);
+  EXPECT_TRUE(this->orders.starts.empty());
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
+}
+
+TEST_F(EndpointSessionTest, HeldTaskIsNotRunWhenIdleEndpointIsSilent) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  this->clock.Advance(seconds(5));
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerPoll(1, OrderOutcome::kUnanswered);
+  EXPECT_TRUE(this->ends.empty());
+  this->AnswerPoll(2, OrderOutcome::kUnanswered);
+  EXPECT_TRUE(this->orders.starts.empty());
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
+}
+
 TEST_F(EndpointSessionTest, UnansweredStartBeforeRestartEndsAsLost) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("open"));
