Soak: close inherited connections; ports of runs do not overlap

Children were started by fork() with all descriptors of the soak open, so a process held the connections of callers that the soak closed later, and the other ends never saw them closed.

Change: a child closes all descriptors but the standard ones before it runs the program. A run keeps the first port of its range bound and takes another range when that is in use.

Evidence: AsyncHttpClientTimeoutTest.ConnectionOfOverdueCallIsClosed shows that the client itself closes connections (it passed before).

--- a/soak/child_process.cc
+++ b/soak/child_process.cc
@@ -14,6 +14,9 @@
   const std::string flag = "--settings=" + settings_file;
   this->pid = fork();
   if (this->pid != 0) return;
+  // The program must not hold connections of the soak's callers and proxies
+  // open: their other ends would not notice that the soak closes them.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   constexpr int kLogFileMode = 0644;
   const int log =
       open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -24,24 +24,48 @@
 // after a restart, so no outgoing connection may have taken them.
 constexpr int kFirstPort = 12'000;
 constexpr int kPortCount = 20'000;
-// Runs that are started one after the other use different ports, since a port
-// that is free now may belong to a process that another run restarts.
+// Each run has ports of its own, since a port that is free now may belong to a
+// process that another run restarts.
 constexpr int kPortsPerRun = 1'000;
 
+// Returns a socket that is bound to `port`, or -1 if the port is in use.
+int BindPort(int port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+           sizeof(address)) == 0) {
+    return descriptor;
+  }
+  close(descriptor);
+  return -1;
+}
+
+// Returns the first port of a range that no other run uses. The first port of a
+// range stays bound until the run ends.
+int FirstPortOfRun() {
+  constexpr int kRanges = kPortCount / kPortsPerRun;
+  const int start = getpid();
+  for (int i = 0; i < kRanges; ++i) {
+    const int port = kFirstPort + (start + i) % kRanges * kPortsPerRun;
+    if (BindPort(port) >= 0) return port;
+  }
+  fmt::print(stderr, "soak: {} other runs use all port ranges\n", kRanges);
+  std::exit(EXIT_FAILURE);
+}
+
 // Returns a port that is free now; consecutive calls return different ports.
 int FreePort() {
-  static int offset = getpid() % (kPortCount / kPortsPerRun) * kPortsPerRun;
+  static const int first = FirstPortOfRun();
+  static int offset = 0;
   while (true) {
-    offset = (offset + 1) % kPortCount;
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<std::uint16_t>(kFirstPort + offset));
-    const bool free = bind(probe, reinterpret_cast<sockaddr*>(&address),
-                           sizeof(address)) == 0;
-    close(probe);
-    if (free) return kFirstPort + offset;
+    offset = offset % (kPortsPerRun - 1) + 1;
+    const int descriptor = BindPort(first + offset);
+    if (descriptor < 0) continue;
+    close(descriptor);
+    return first + offset;
   }
 }
 
