Relay: cancel a job that another process runs

Cause: each process looked in its own memory only.

Change: a process that does not know the job tells the others, three times in 0.3 s; an entry tells the coordinators of its domain, which pass the message on to those of other domains. The answer is still 410, as the job is not known where it is asked for.

--- a/src/libs/jobs/job_gateway.h
+++ b/src/libs/jobs/job_gateway.h
@@ -26,7 +26,7 @@
   /// waits for it.
   virtual void Abandon(const std::string& id, std::uint64_t caller) = 0;
 
-  /// Stops a job. Returns false when the job is not known here.
+  /// Stops a job wherever it is. Returns false when it is not known here.
   virtual bool Cancel(const std::string& id) = 0;
 
   /// Returns whether the job is in flight.
--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -24,9 +24,12 @@
 // A job that was in transit for longer is rejected, since its entry process may
 // have given it up.
 constexpr std::uint64_t kMaxTransitMs = 250;
-// An abandon message may be lost with a connection that was reset, so it is
-// sent again.
-constexpr base::Duration kAbandonRetryInterval = milliseconds(150);
+// Messages that end a job may be lost with a connection that was reset, so they
+// are sent again.
+constexpr base::Duration kRetryInterval = milliseconds(150);
+// Number of times that a cancel message is sent. It is not answered, since most
+// receivers do not know the job.
+constexpr int kCancelSends = 3;
 // Time after its arrival in which a job needs no confirmation that its entry
 // process still waits. A caller that lost the entry or the coordinator submits
 // the job again 1.3 s later.
@@ -70,8 +73,8 @@
     : parts(parts),
       next_number(kFirstForwardedNumber),
       retry_timer(parts.clock) {
-  this->retry_timer.StartPeriodic(kAbandonRetryInterval,
-                                  [this] { this->RetryAbandons(); });
+  this->retry_timer.StartPeriodic(kRetryInterval,
+                                  [this] { this->RetryMessages(); });
 }
 
 JobRelay::~JobRelay() = default;
@@ -173,6 +176,9 @@
     case wire::Envelope::kAbandonHandedJob:
       this->ReceiveAbandon(envelope);
       return true;
+    case wire::Envelope::kCancelJob:
+      this->ReceiveCancel(envelope.cancel_job());
+      return true;
     default:
       return false;
   }
@@ -341,7 +347,7 @@
   this->parts.cluster.Send(address, std::move(envelope));
 }
 
-void JobRelay::RetryAbandons() {
+void JobRelay::RetryMessages() {
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
   const base::TimePoint now = this->parts.clock.Now();
   std::erase_if(this->abandoned, [&board, now](const auto& item) {
@@ -355,9 +361,51 @@
   for (const auto& [number, abandonment] : this->abandoned) {
     this->SendAbandon(number, abandonment.address);
   }
+  for (auto& [id, sends] : this->pending_cancels) {
+    this->SendCancel(id);
+    --sends;
+  }
+  std::erase_if(this->pending_cancels,
+                [](const auto& item) { return item.second <= 0; });
 }
 
+// The caller's request may have reached another process than the job did.
 bool JobRelay::Cancel(const std::string& id) {
+  const bool known = this->CancelHere(id);
+  if (!known) {
+    kLog.Info("Unknown job is cancelled at other processes. job={}", id);
+    this->SendCancel(id);
+    this->pending_cancels[id] = kCancelSends - 1;
+  }
+  return known;
+}
+
+// Tells the coordinators. An entry knows those of its own domain only, and
+// these pass the message on.
+void JobRelay::SendCancel(const std::string& id) {
+  const cluster::ClusterBoard& board = this->parts.cluster.Board();
+  for (const auto& [address, member] : board.members) {
+    if (!member.live) continue;
+    wire::Envelope envelope;
+    envelope.mutable_cancel_job()->set_id(id);
+    envelope.mutable_cancel_job()->set_pass_on(!board.is_coordinator &&
+                                               member.is_coordinator);
+    this->parts.cluster.Send(address, std::move(envelope));
+  }
+}
+
+void JobRelay::ReceiveCancel(const wire::CancelJob& cancel) {
+  if (this->CancelHere(cancel.id()) || !cancel.pass_on()) return;
+  const cluster::ClusterBoard& board = this->parts.cluster.Board();
+  for (const auto& [address, member] : board.members) {
+    if (!member.live || board.IsSameDomain(member)) continue;
+    wire::Envelope envelope;
+    envelope.mutable_cancel_job()->set_id(cancel.id());
+    this->parts.cluster.Send(address, std::move(envelope));
+  }
+}
+
+bool JobRelay::CancelHere(const std::string& id) {
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, job] : this->forwarded) {
     if (job.id == id) numbers.push_back(number);
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -114,12 +114,15 @@
 
   void GiveUp(std::uint64_t number, JobEnd end, const char* cause);
   void SendAbandon(std::uint64_t number, const std::string& address);
-  void RetryAbandons();
+  void RetryMessages();
   std::string ChooseCoordinator(const std::string& job) const;
   void SendJob(std::uint64_t number, const std::string& address,
                const JobRequest& request, const catalog::Route& route,
                std::uint64_t version);
   void ReceiveJob(const wire::Envelope& envelope);
+  bool CancelHere(const std::string& id);
+  void SendCancel(const std::string& id);
+  void ReceiveCancel(const wire::CancelJob& cancel);
   bool IsGivenUp(const HostedKey& key, const HostedJob& job) const;
   bool IsWaiting(const HostedKey& key) const;
   void ReceiveAnswer(const wire::Envelope& envelope);
@@ -134,6 +137,9 @@
   std::map<HostedKey, HostedJob> hosted;
   /// Jobs that were given up and not answered since, by number.
   std::map<std::uint64_t, Abandonment> abandoned;
+  /// Number of times that the cancel message of a job that is not known here is
+  /// still sent, by job id.
+  std::map<std::string, int> pending_cancels;
   base::Timer retry_timer;
 };
 
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -169,8 +169,8 @@
   EXPECT_EQ(this->Running(), 1U);
 }
 
-// Guards against a task that runs twice: a coordinator wakes with a job that was
-// given up while it was frozen, and the messages that say so are lost.
+// Guards against a task that runs twice: a coordinator wakes with a job that
+// was given up while it was frozen, and the messages that say so are lost.
 TEST_F(JobRelayTest, WokenCoordinatorStartsNoTaskBeforeItsEntryConfirms) {
   const auto answer =
       this->fleet.Submit("weak0", kLongTimeoutPath, 1, seconds(5));
@@ -234,6 +234,34 @@
   EXPECT_EQ((**answer).end, JobEnd::kInterrupted);
 }
 
+// Guards against a cancelled job that runs on: the cancel request reached
+// another process than the job did (review case 5).
+TEST_F(JobRelayTest, JobIsCancelledThroughAnyProcess) {
+  for (const char* receiver : {"weak0", "weak1", "strong0", "strong1"}) {
+    const std::string id =
+        this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 2, seconds(5));
+    this->fleet.Run(milliseconds(100));
+    ASSERT_EQ(this->Running(), 2U);
+    this->fleet.Process(receiver).relay.Cancel(id);
+    this->fleet.Run(milliseconds(150));
+    EXPECT_EQ(this->Running(), 0U) << receiver;
+  }
+}
+
+// The processes of two domains know each other only through their coordinators.
+TEST_F(JobRelayTest, JobOfAnotherDomainIsCancelled) {
+  this->fleet.AddProcess("far-strong", "south", kStrongWeight);
+  this->fleet.AddProcess("far-weak", "south", kWeakWeight);
+  this->fleet.Run(seconds(3));
+  const std::string id =
+      this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 2, seconds(5));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->Running(), 2U);
+  this->fleet.Process("far-weak").relay.Cancel(id);
+  this->fleet.Run(milliseconds(150));
+  EXPECT_EQ(this->Running(), 0U);
+}
+
 // An entry rejects new jobs during a planned stop, because a late job could
 // outlast the process.
 TEST_F(JobRelayTest, StoppingEntryRejectsNewJobs) {
