--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -457,10 +457,9 @@
       changed || heartbeat.coordinates() != member.last.coordinates() ||
       heartbeat.member().weight() != member.announce.weight() ||
       heartbeat.member().domain() != member.announce.domain();
-  changed = changed ||
-            heartbeat.hears_receiver() != member.last.hears_receiver() ||
-            heartbeat.receiver_live_since_ms() >
-                member.confirmed_since_steady_ms;
+  changed =
+      changed || heartbeat.hears_receiver() != member.last.hears_receiver() ||
+      heartbeat.receiver_live_since_ms() > member.confirmed_since_steady_ms;
   member.announce = heartbeat.member();
   member.last_heard = this->parts.clock.Now();
   for (const std::string& peer : heartbeat.peers()) this->AddMember(peer);
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -120,9 +120,9 @@
 EndpointSession::~EndpointSession() { *this->callback_guard = false; }
 
 void EndpointSession::UpdateEntry(const catalog::EndpointEntry& new_entry) {
-  const bool newer = new_entry.incarnation_start_ms >
-                     std::max(this->entry.incarnation_start_ms,
-                              this->incarnation_start_ms);
+  const bool newer =
+      new_entry.incarnation_start_ms >
+      std::max(this->entry.incarnation_start_ms, this->incarnation_start_ms);
   this->entry = new_entry;
   if (new_entry.incarnation_start_ms == 0 ||
       new_entry.incarnation_start_ms == this->incarnation_start_ms) {
@@ -181,10 +181,9 @@
 // Returns whether a restart of the endpoint would have been noticed by now: its
 // list of runs was read a moment ago, or a request for it is in flight.
 bool EndpointSession::IsVerified() const {
-  const bool has_held =
-      std::any_of(this->runs.begin(), this->runs.end(), [](const auto& item) {
-        return item.second.state == RunState::kHeld;
-      });
+  const bool has_held = std::any_of(
+      this->runs.begin(), this->runs.end(),
+      [](const auto& item) { return item.second.state == RunState::kHeld; });
   if (has_held) return false;
   return this->polls_in_flight > 0 ||
          this->parts.clock.Now() - this->last_list <= kListValidity;
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -119,10 +119,10 @@
   const auto pending = this->pending_requests.find(address);
   if (pending == this->pending_requests.end()) return false;
   auto& tasks = *pending->second.mutable_place()->mutable_tasks();
-  const auto task = std::find_if(
-      tasks.begin(), tasks.end(), [placement](const wire::PlacedTask& item) {
-        return item.placement() == placement;
-      });
+  const auto task = std::find_if(tasks.begin(), tasks.end(),
+                                 [placement](const wire::PlacedTask& item) {
+                                   return item.placement() == placement;
+                                 });
   if (task == tasks.end()) return false;
   tasks.erase(task);
   if (tasks.empty()) this->pending_requests.erase(pending);
--- a/tests/http/async_http_client_test.cc
+++ b/tests/http/async_http_client_test.cc
@@ -1,7 +1,12 @@
 #include "http/async_http_client.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -76,5 +81,36 @@
   EXPECT_EQ(this->server.Requests(), 3);
 }
 
+// Guards against a server that goes on with a call that was given up: the
+// connection is closed at once, so that the server notices.
+TEST(AsyncHttpClientTimeoutTest, ConnectionOfOverdueCallIsClosed) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&address), size), 0);
+  ASSERT_EQ(listen(listener, 1), 0);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  base::GlibClock clock;
+  http::AsyncHttpClient client(clock, 1);
+  http::HttpCall call;
+  call.method = "POST";
+  call.address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  call.target = "/order";
+  call.body = "{}";
+  call.timeout = std::chrono::milliseconds(50);
+  bool done = false;
+  client.Send(call,
+              [&done](const base::Result<http::HttpReply>&) { done = true; });
+  ASSERT_TRUE(RunLoopUntil([&done] { return done; }));
+  const int connection = accept(listener, nullptr, nullptr);
+  std::array<char, 4096> buffer{};
+  EXPECT_GT(recv(connection, buffer.data(), buffer.size(), MSG_DONTWAIT), 0);
+  EXPECT_EQ(recv(connection, buffer.data(), buffer.size(), MSG_DONTWAIT), 0);
+  close(connection);
+  close(listener);
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
--- a/tests/platform/json_record_decoder_test.cc
+++ b/tests/platform/json_record_decoder_test.cc
@@ -58,8 +58,7 @@
 // deep value is read and dropped again without recursion.
 TEST(RecordCodecTest, DeeplyNestedEntryIsDecoded) {
   constexpr std::size_t kDepth = 500'000;
-  const std::string deep =
-      std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
   const auto entry = JsonRecordDecoder().DecodeEndpoint(
       "i-1", EntryWith("10.0.0.9:80", R"(,"labels":)" + deep));
   ASSERT_TRUE(entry.HasValue());
@@ -88,20 +87,20 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Table, OddEndpointTest,
-    ::testing::Values(
-        EntryWith("10.0.0.9:70000", ""), EntryWith("10.0.0.9:0", ""),
-        EntryWith("10.0.0.9:-1", ""),
-        EntryWith("10.0.0.9:99999999999999999999", ""),
-        EntryWith("10.0.0.9:80", R"(,"born":1e400)"),
-        EntryWith("10.0.0.9:80", R"(,"born":1e300)"),
-        EntryWith("10.0.0.9:80", R"(,"born":18446744073709551615)"),
-        EntryWith("10.0.0.9:80", R"(,"born":-1)"),
-        R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
-        R"("capacity":{"cpu":1e300}})",
-        R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
-        R"("capacity":{"cpu":-1}})",
-        R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
-        R"("capacity":{"memMb":18446744073709551615}})"));
+    ::testing::Values(EntryWith("10.0.0.9:70000", ""),
+                      EntryWith("10.0.0.9:0", ""), EntryWith("10.0.0.9:-1", ""),
+                      EntryWith("10.0.0.9:99999999999999999999", ""),
+                      EntryWith("10.0.0.9:80", R"(,"born":1e400)"),
+                      EntryWith("10.0.0.9:80", R"(,"born":1e300)"),
+                      EntryWith("10.0.0.9:80",
+                                R"(,"born":18446744073709551615)"),
+                      EntryWith("10.0.0.9:80", R"(,"born":-1)"),
+                      R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+                      R"("capacity":{"cpu":1e300}})",
+                      R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+                      R"("capacity":{"cpu":-1}})",
+                      R"({"service":"s","addr":"10.0.0.9:80","state":"ready",)"
+                      R"("capacity":{"memMb":18446744073709551615}})"));
 
 // Guards against a span that overflows when it is added to a time.
 TEST(RecordCodecTest, SpansOfRoutesAreBounded) {
