Runs: a start that was held during a pause is not sent

What callers could see: a task of a job that was given up. A process that pauses while a start order waits for a list of runs reads the list first when it wakes, before the timers that end the job and the messages that abandon it.

They were sent whatever their age.

Evidence: EndpointSessionTest.TaskHeldDuringPauseIsNotRun fails when the change is taken out.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -164,7 +164,8 @@
   Run& run = this->runs[key];
   run.order = order;
   run.handlers = std::move(handlers);
-  run.deadline = this->parts.clock.Now() + order.time_left;
+  run.started = this->parts.clock.Now();
+  run.deadline = run.started + order.time_left;
   run.timer = std::make_unique<base::Timer>(this->parts.clock);
   if (verified) {
     this->SendStart(key);
@@ -216,8 +217,20 @@
       });
 }
 
+// Sends the starts that waited for a list of runs. One that was held for longer
+// than an answer takes belongs to a job that may have been given up, since this
+// process was paused meanwhile.
 void EndpointSession::SendHeld() {
-  for (const RunKey& key : this->HeldRuns()) this->SendStart(key);
+  const base::Duration max_held =
+      this->parts.settings.recheck_after + 2 * this->parts.settings.answer_time;
+  const base::TimePoint now = this->parts.clock.Now();
+  for (const RunKey& key : this->HeldRuns()) {
+    if (now - this->runs.at(key).started > max_held) {
+      this->End(key, RunOutcome::kNotRun);
+    } else {
+      this->SendStart(key);
+    }
+  }
 }
 
 void EndpointSession::EndHeld() {
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -108,6 +108,7 @@
     bool foreign = false;
     /// Fencing token of its start order.
     std::uint64_t fence = 0;
+    /// Time at which the start order was sent, or the run was held.
     base::TimePoint started;
     /// Time after which its result is of no use to the caller.
     base::TimePoint deadline;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -282,6 +282,19 @@
   EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
 }
 
+// Guards against a task of a job that was given up: the process was paused
+// while the start order waited for the list.
+TEST_F(EndpointSessionTest, TaskHeldDuringPauseIsNotRun) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  this->clock.Advance(seconds(5));
+  ASSERT_TRUE(this->Start("a"));
+  this->clock.Advance(seconds(2));
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  EXPECT_TRUE(this->orders.starts.empty());
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
+}
+
 TEST_F(EndpointSessionTest, HeldTaskIsNotRunWhenIdleEndpointIsSilent) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   this->clock.Advance(seconds(5));
