Relay: collect the cancelled jobs of an iteration in one message

What could be seen: each DELETE of an unknown job sent three messages to every other process, so a flood of DELETE requests at one process was multiplied by the size of the fleet.

JobRelayTest.JobIsCancelledThroughAnyProcess and JobOfAnotherDomainIsCancelled pass as before.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -72,6 +72,7 @@
 JobRelay::JobRelay(const Parts& parts)
     : parts(parts),
       next_number(kFirstForwardedNumber),
+      cancel_timer(parts.clock),
       retry_timer(parts.clock) {
   this->retry_timer.StartPeriodic(kRetryInterval,
                                   [this] { this->RetryMessages(); });
@@ -176,8 +177,8 @@
     case wire::Envelope::kAbandonHandedJob:
       this->ReceiveAbandon(envelope);
       return true;
-    case wire::Envelope::kCancelJob:
-      this->ReceiveCancel(envelope.cancel_job());
+    case wire::Envelope::kCancelJobs:
+      this->ReceiveCancels(envelope.cancel_jobs());
       return true;
     default:
       return false;
@@ -361,12 +362,7 @@
   for (const auto& [number, abandonment] : this->abandoned) {
     this->SendAbandon(number, abandonment.address);
   }
-  for (auto& [id, sends] : this->pending_cancels) {
-    this->SendCancel(id);
-    --sends;
-  }
-  std::erase_if(this->pending_cancels,
-                [](const auto& item) { return item.second <= 0; });
+  if (!this->pending_cancels.empty()) this->SendCancels();
 }
 
 // The caller's request may have reached another process than the job did.
@@ -374,33 +370,47 @@
   const bool known = this->CancelHere(id);
   if (!known) {
     kLog.Info("Unknown job is cancelled at other processes. job={}", id);
-    this->SendCancel(id);
-    this->pending_cancels[id] = kCancelSends - 1;
+    this->pending_cancels[id] = kCancelSends;
+    if (!this->cancel_timer.IsActive()) {
+      this->cancel_timer.StartOnce(base::Duration{0},
+                                   [this] { this->SendCancels(); });
+    }
   }
   return known;
 }
 
 // Tells the coordinators. An entry knows those of its own domain only, and
 // these pass the message on.
-void JobRelay::SendCancel(const std::string& id) {
+void JobRelay::SendCancels() {
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
+  wire::CancelJobs cancels;
+  for (auto& [id, sends] : this->pending_cancels) {
+    cancels.add_ids(id);
+    --sends;
+  }
+  std::erase_if(this->pending_cancels,
+                [](const auto& item) { return item.second <= 0; });
   for (const auto& [address, member] : board.members) {
     if (!member.live) continue;
     wire::Envelope envelope;
-    envelope.mutable_cancel_job()->set_id(id);
-    envelope.mutable_cancel_job()->set_pass_on(!board.is_coordinator &&
-                                               member.is_coordinator);
+    *envelope.mutable_cancel_jobs() = cancels;
+    envelope.mutable_cancel_jobs()->set_pass_on(!board.is_coordinator &&
+                                                member.is_coordinator);
     this->parts.cluster.Send(address, std::move(envelope));
   }
 }
 
-void JobRelay::ReceiveCancel(const wire::CancelJob& cancel) {
-  if (this->CancelHere(cancel.id()) || !cancel.pass_on()) return;
+void JobRelay::ReceiveCancels(const wire::CancelJobs& cancels) {
+  wire::CancelJobs unknown;
+  for (const std::string& id : cancels.ids()) {
+    if (!this->CancelHere(id)) unknown.add_ids(id);
+  }
+  if (!cancels.pass_on() || unknown.ids().empty()) return;
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
   for (const auto& [address, member] : board.members) {
     if (!member.live || board.IsSameDomain(member)) continue;
     wire::Envelope envelope;
-    envelope.mutable_cancel_job()->set_id(cancel.id());
+    *envelope.mutable_cancel_jobs() = unknown;
     this->parts.cluster.Send(address, std::move(envelope));
   }
 }
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -121,8 +121,8 @@
                std::uint64_t version);
   void ReceiveJob(const wire::Envelope& envelope);
   bool CancelHere(const std::string& id);
-  void SendCancel(const std::string& id);
-  void ReceiveCancel(const wire::CancelJob& cancel);
+  void SendCancels();
+  void ReceiveCancels(const wire::CancelJobs& cancels);
   bool IsGivenUp(const HostedKey& key, const HostedJob& job) const;
   bool IsWaiting(const HostedKey& key) const;
   void ReceiveAnswer(const wire::Envelope& envelope);
@@ -137,9 +137,11 @@
   std::map<HostedKey, HostedJob> hosted;
   /// Jobs that were given up and not answered since, by number.
   std::map<std::uint64_t, Abandonment> abandoned;
-  /// Number of times that the cancel message of a job that is not known here is
-  /// still sent, by job id.
+  /// Cancelled jobs that are not known here, with the number of times that the
+  /// other processes are still told, by job id.
   std::map<std::string, int> pending_cancels;
+  /// Collects the jobs that are cancelled in one iteration of the event loop.
+  base::Timer cancel_timer;
   base::Timer retry_timer;
 };
 
