Soak: endpoint entries name their incarnation

The entries of the soak's endpoints had no start of the incarnation, which the platform's have, so that a restarted endpoint was used with its old entry in every run. They name it now.

--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -127,9 +127,11 @@
       catalog::Topic::kEndpoints, endpoint.id,
       fmt::format(
           R"({{"service":"booking","addr":"{}","zone":"{}","state":"{}",)"
-          R"("capacity":{{"cpu":{},"memMb":{}}},"labels":["a","r1"]}})",
+          R"("capacity":{{"cpu":{},"memMb":{}}},"labels":["a","r1"],)"
+          R"("born":{}}})",
           endpoint.address, endpoint.domain, draining ? "draining" : "ready",
-          kEndpointCpuMilli, kEndpointMemoryMb));
+          kEndpointCpuMilli, kEndpointMemoryMb,
+          this->leased_endpoints.IncarnationOf(endpoint.id)));
 }
 
 void SoakEnvironment::RestartEndpoint(std::size_t index) {
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -65,6 +65,10 @@
   return this->endpoints.at(id).runs.size();
 }
 
+std::int64_t LeasedEndpoints::IncarnationOf(const std::string& id) const {
+  return static_cast<std::int64_t>(this->endpoints.at(id).incarnation);
+}
+
 bool LeasedEndpoints::IsReachable(const std::string& process_domain,
                                   const Endpoint& endpoint) const {
   return !endpoint.silent &&
@@ -245,8 +249,7 @@
     Endpoint& endpoint = this->endpoints[id];
     PollReply reply;
     reply.order = this->ReplyOf(endpoint, OrderOutcome::kAccepted);
-    reply.order.incarnation_start_ms =
-        static_cast<std::int64_t>(endpoint.incarnation);
+    reply.order.incarnation_start_ms = this->IncarnationOf(id);
     for (const auto& [key, run] : endpoint.runs) {
       const auto age = this->clock.Now() - run.started;
       const int percent = run.time.count() == 0
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -87,6 +87,8 @@
   }
   std::uint64_t Ends() const { return this->ends; }
   std::size_t RunningAt(const std::string& id) const;
+  /// Start of the endpoint's incarnation as its lists of runs name it.
+  std::int64_t IncarnationOf(const std::string& id) const;
 
   /// Sets the thousandths of a core that a task with this payload needs; the
   /// capacity check uses it.
