Runs: log the evidence by which a run counts as ended

Change: each such run is logged with its evidence, the fencing token of its order and that of the session, its age and the endpoint's incarnation. The session remembers these runs for 15 s, longer than an order can be late. One that is listed again is logged as a warning and counted (runs.settled_in_progress), so a wrong decision shows also when no second run has started yet. No decision changes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -283,23 +283,25 @@
     case OrderOutcome::kFenced:
       // An order that was overtaken by a poll with a raised token is fenced
       // although this process still holds the endpoint.
-      this->End(key, RunOutcome::kNotRun);
+      this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartRefused);
       if (order_fence == this->fence) this->OnFenced(order_fence);
       return;
     case OrderOutcome::kStaleRun:
-      this->End(key, RunOutcome::kStaleRun);
+      this->Settle(key, RunOutcome::kStaleRun,
+                   SettlementEvidence::kStartRefused);
       return;
     case OrderOutcome::kOverloaded:
     case OrderOutcome::kExpired:
     case OrderOutcome::kNoCapacity:
       this->health.RecordRefusal(this->parts.clock.Now());
-      this->End(key, RunOutcome::kNotRun);
+      this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartRefused);
       return;
     case OrderOutcome::kInvalid:
-      this->End(key, RunOutcome::kFailed);
+      this->Settle(key, RunOutcome::kFailed, SettlementEvidence::kStartRefused);
       return;
     case OrderOutcome::kWrongInstance:
-      this->EndAllAsLost("another endpoint answers");
+      this->EndAllAsLost("another endpoint answers",
+                         SettlementEvidence::kEndpointReplaced);
       this->SetState(SessionState::kClaiming, "another endpoint answers");
       this->poll_timer.StartOnce(kMinProbeBackoff,
                                  [this] { this->PollAgain(); });
@@ -487,7 +489,8 @@
       }
       return;
     case OrderOutcome::kWrongInstance:
-      this->EndAllAsLost("another endpoint answers");
+      this->EndAllAsLost("another endpoint answers",
+                         SettlementEvidence::kEndpointReplaced);
       this->SetState(SessionState::kClaiming, "another endpoint answers");
       this->poll_timer.StartOnce(kMaxProbeBackoff,
                                  [this] { this->PollAgain(); });
@@ -536,7 +539,8 @@
     const base::Duration left = std::max(
         base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
     this->lease_expiry_timer.StartOnce(left, [this] {
-      this->EndAllAsLost("lease expired, endpoint does not answer");
+      this->EndAllAsLost("lease expired, endpoint does not answer",
+                         SettlementEvidence::kLeaseExpired);
     });
     this->on_change();
   }
@@ -563,8 +567,9 @@
   this->EndHeld();
   const base::Duration left =
       std::max(base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
-  this->lease_expiry_timer.StartOnce(
-      left, [this] { this->EndAllAsLost("fenced off"); });
+  this->lease_expiry_timer.StartOnce(left, [this] {
+    this->EndAllAsLost("fenced off", SettlementEvidence::kLeaseExpired);
+  });
   this->on_change();
 }
 
@@ -592,9 +597,12 @@
   for (const ActiveRun& reported : reply.running) {
     const RunKey key{reported.task, reported.run};
     present[key] = reported.percent;
-    if (!this->runs.contains(key)) this->AddForeign(reported);
+    if (!this->runs.contains(key)) {
+      this->AddForeign(reported, order.target.fence);
+    }
   }
-  std::vector<std::pair<RunKey, RunOutcome>> ended_runs;
+  std::vector<std::pair<RunKey, RunOutcome>> absent_runs;
+  std::vector<RunKey> stopped_runs;
   for (auto& [key, run] : this->runs) {
     if (run.state == RunState::kHeld) continue;
     if (present.contains(key)) {
@@ -612,19 +620,25 @@
     // the previous incarnation.
     const bool unsettled = !run.start_answered || run.overtaken_by_restart;
     if (unsettled && !run.foreign && run.fence < order.target.fence) {
-      ended_runs.emplace_back(key, run.overtaken_by_restart
-                                       ? RunOutcome::kLost
-                                       : RunOutcome::kNotRun);
+      absent_runs.emplace_back(key, run.overtaken_by_restart
+                                        ? RunOutcome::kLost
+                                        : RunOutcome::kNotRun);
       continue;
     }
     const std::int64_t stop_ms =
         this->parts.settings.stop_time / milliseconds(1);
     if (run.state == RunState::kStopping && run.stop_clock_ms != 0 &&
         reply.order.clock_ms > run.stop_clock_ms + stop_ms) {
-      ended_runs.emplace_back(key, RunOutcome::kStopped);
+      stopped_runs.push_back(key);
     }
   }
-  for (const auto& [key, outcome] : ended_runs) this->End(key, outcome);
+  for (const auto& [key, outcome] : absent_runs) {
+    this->Settle(key, outcome, SettlementEvidence::kAbsentFromList);
+  }
+  for (const RunKey& key : stopped_runs) {
+    this->Settle(key, RunOutcome::kStopped,
+                 SettlementEvidence::kStopTimePassed);
+  }
   for (const ActiveRun& reported : reply.running)
     this->UpdateProgress(reported);
 }
@@ -664,10 +678,28 @@
                : this->parts.settings.poll_wait;
 }
 
-void EndpointSession::AddForeign(const ActiveRun& reported) {
+void EndpointSession::AddForeign(const ActiveRun& reported,
+                                 std::uint64_t list_fence) {
   const RunKey key{reported.task, reported.run};
-  kLog.Info("Run of another process is stopped. endpoint={} task={} run={}",
-            this->entry.id, reported.task, reported.run);
+  const auto settlement = this->settled.Find(reported.task, reported.run);
+  if (settlement) {
+    this->parts.metrics.Count("runs.settled_in_progress");
+    kLog.Warning(
+        "Run that counted as ended is stopped. endpoint={} task={} run={} "
+        "percent={} outcome={} evidence={} settled_ms_ago={} order_fence={} "
+        "settled_fence={} list_fence={} incarnation={}",
+        this->entry.id, reported.task, reported.run, reported.percent,
+        runs::NameOf(settlement->outcome), NameOf(settlement->evidence),
+        (this->parts.clock.Now() - settlement->time) / milliseconds(1),
+        settlement->order_fence, settlement->fence, list_fence,
+        this->incarnation_start_ms);
+  } else {
+    kLog.Info(
+        "Run of another process is stopped. endpoint={} task={} run={} "
+        "percent={} list_fence={}",
+        this->entry.id, reported.task, reported.run, reported.percent,
+        list_fence);
+  }
   Run& run = this->runs[key];
   run.foreign = true;
   run.started = this->parts.clock.Now();
@@ -721,7 +753,10 @@
         this->entry.id, this->incarnation_start_ms, lost.size(),
         this->runs.size() - lost.size());
   }
-  for (const RunKey& key : lost) this->End(key, RunOutcome::kLost);
+  for (const RunKey& key : lost) {
+    this->Settle(key, RunOutcome::kLost,
+                 SettlementEvidence::kEndpointRestarted);
+  }
   this->fence = this->parts.tokens.NextClaim(
       this->parts.clock.WallMilliseconds(), this->fence);
   // Polls in flight were sent to the previous incarnation.
@@ -755,14 +790,37 @@
   on_end(outcome);
 }
 
-void EndpointSession::EndAllAsLost(const char* cause) {
+// Ends a run whose end the endpoint has not reported.
+void EndpointSession::Settle(const RunKey& key, RunOutcome outcome,
+                             SettlementEvidence evidence) {
+  const auto found = this->runs.find(key);
+  if (found == this->runs.end()) return;
+  const Run& run = found->second;
+  const base::TimePoint now = this->parts.clock.Now();
+  if (!run.foreign) {
+    kLog.Info(
+        "Run is settled. endpoint={} task={} run={} outcome={} evidence={} "
+        "age_ms={} answered={} order_fence={} fence={} incarnation={}",
+        this->entry.id, key.first, key.second, runs::NameOf(outcome),
+        NameOf(evidence), (now - run.started) / milliseconds(1),
+        run.start_answered, run.fence, this->fence, this->incarnation_start_ms);
+    this->settled.Add(key.first, key.second,
+                      {outcome, evidence, run.fence, this->fence, now});
+  }
+  this->End(key, outcome);
+}
+
+void EndpointSession::EndAllAsLost(const char* cause,
+                                   SettlementEvidence evidence) {
   this->EndHeld();
   if (this->runs.empty()) return;
   kLog.Warning("Runs are lost. endpoint={} runs={} cause=\"{}\"",
                this->entry.id, this->runs.size(), cause);
   std::vector<RunKey> keys;
   for (const auto& [key, run] : this->runs) keys.push_back(key);
-  for (const RunKey& key : keys) this->End(key, RunOutcome::kLost);
+  for (const RunKey& key : keys) {
+    this->Settle(key, RunOutcome::kLost, evidence);
+  }
   this->on_change();
 }
 
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -15,6 +15,7 @@
 #include "runs/fencing_token_generator.h"
 #include "runs/run_progress.h"
 #include "runs/run_settings.h"
+#include "runs/settled_runs.h"
 #include "runs/task_order.h"
 
 namespace hawthornwheel::base {
@@ -143,7 +144,7 @@
   void ProcessRunning(const PollOrder& order, const PollReply& reply);
   void UpdateProgress(const ActiveRun& reported);
   base::Duration PollWait() const;
-  void AddForeign(const ActiveRun& reported);
+  void AddForeign(const ActiveRun& reported, std::uint64_t list_fence);
   void OnStartReply(const RunKey& key, std::uint64_t order_fence,
                     const OrderReply& reply);
   void SendStop(const RunKey& key);
@@ -153,7 +154,9 @@
   std::int64_t LeaseUntil() const;
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
-  void EndAllAsLost(const char* cause);
+  void Settle(const RunKey& key, RunOutcome outcome,
+              SettlementEvidence evidence);
+  void EndAllAsLost(const char* cause, SettlementEvidence evidence);
   void OnRestart();
   void SetState(SessionState new_state, const char* cause);
 
@@ -168,6 +171,7 @@
   bool entry_outdated = false;
   std::uint64_t fence = 0;
   std::map<RunKey, Run> runs;
+  SettledRuns settled;
   /// Highest sequence number of an end that was processed.
   std::uint64_t seen_end_seq = 0;
   /// Highest sequence number that an accepted poll has acknowledged.
--- /dev/null
+++ b/src/libs/runs/settled_runs.cc
@@ -0,0 +1,50 @@
+#include "runs/settled_runs.h"
+
+#include <chrono>
+
+namespace hawthornwheel::runs {
+namespace {
+
+// The platform carries out an unanswered order up to 12 s later.
+constexpr base::Duration kMemory = std::chrono::seconds(15);
+
+}  // namespace
+
+const char* NameOf(SettlementEvidence evidence) {
+  switch (evidence) {
+    case SettlementEvidence::kAbsentFromList:
+      return "absent_from_list";
+    case SettlementEvidence::kStartRefused:
+      return "start_refused";
+    case SettlementEvidence::kStopTimePassed:
+      return "stop_time_passed";
+    case SettlementEvidence::kLeaseExpired:
+      return "lease_expired";
+    case SettlementEvidence::kEndpointRestarted:
+      return "endpoint_restarted";
+    case SettlementEvidence::kEndpointReplaced:
+      return "endpoint_replaced";
+  }
+  return "unknown";
+}
+
+void SettledRuns::Add(const std::string& task, std::uint64_t run,
+                      const Settlement& settlement) {
+  this->DropExpired(settlement.time);
+  this->settlements[{task, run}] = settlement;
+}
+
+std::optional<SettledRuns::Settlement> SettledRuns::Find(
+    const std::string& task, std::uint64_t run) const {
+  const auto found = this->settlements.find({task, run});
+  if (found == this->settlements.end()) return std::nullopt;
+  return found->second;
+}
+
+void SettledRuns::DropExpired(base::TimePoint now) {
+  std::erase_if(this->settlements, [now](const auto& item) {
+    return now - item.second.time > kMemory;
+  });
+}
+
+}  // namespace hawthornwheel::runs
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -331,6 +331,22 @@
   EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
 }
 
+// Guards against a breach of "at most once" that leaves no trace in logs and
+// metrics: a run that the session counts as ended is listed as in progress.
+TEST_F(EndpointSessionTest, SettledRunThatIsListedIsCounted) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kUnanswered);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->metrics.Counter("runs.settled_in_progress"), 0U);
+  ASSERT_TRUE(this->Start("b"));
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted,
+                   {{"a", 1, 10}, {"b", 1, 0}, {"foreign", 1, 0}});
+  EXPECT_EQ(this->metrics.Counter("runs.settled_in_progress"), 1U);
+  EXPECT_EQ(this->orders.stops.size(), 2U);
+}
+
 TEST_F(EndpointSessionTest, UnansweredStartThatRunsIsKept) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
