Peers: drop messages for another incarnation

Seen by callers: none is known.

Cause: the numbers of placements and of forwarded jobs start again with each incarnation. A report or an answer that a connection held up reached the restarted process at the same address, which took it for its own placement or job with the same number: it counted a run at work as ended and started the task again, or answered a caller whose job went on.

Change: place requests, reports, forwarded jobs and their answers name the incarnation that they are for (`recipient`, as in the project's own interface); the receiver drops others. FakeNetwork can lose messages of one connection, or delay them so that later ones overtake them.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -418,6 +418,11 @@
 }
 
 bool ClusterController::Receive(const wire::Envelope& envelope) {
+  const std::string& recipient = envelope.recipient();
+  if (!recipient.empty() && recipient != this->board.self.incarnation()) {
+    this->parts.metrics.Count("cluster.other_recipient");
+    return true;
+  }
   switch (envelope.body_case()) {
     case wire::Envelope::kMemberHeartbeat:
       this->ReceiveHeartbeat(envelope);
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -72,7 +72,7 @@
   void Leave();
 
   /// Processes an envelope. Returns false for one that is not about membership
-  /// or the catalog.
+  /// or the catalog. Drops one for another incarnation of this process.
   bool Receive(const wire::Envelope& envelope);
 
   /// Fills in the sender and sends `envelope` to the process at `address`. An
--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -140,6 +140,7 @@
                        const JobRequest& request, const catalog::Route& route,
                        std::uint64_t version) {
   wire::Envelope envelope;
+  envelope.set_recipient(this->forwarded.at(number).incarnation);
   wire::HandedJob& job = *envelope.mutable_handed_job();
   job.set_number(number);
   job.set_id(request.id);
@@ -239,6 +240,8 @@
 
 void JobRelay::SendAnswer(const HostedKey& key, const JobAnswer& answer) {
   wire::Envelope envelope;
+  // The numbers of jobs start again with each incarnation.
+  envelope.set_recipient(key.incarnation);
   wire::HandedJobAnswer& body = *envelope.mutable_handed_job_answer();
   body.set_number(key.number);
   body.set_end(static_cast<std::uint32_t>(answer.end));
@@ -259,11 +262,9 @@
 }
 
 void JobRelay::ReceiveAbandon(const wire::Envelope& envelope) {
-  const auto found =
-      this->hosted.find({envelope.sender_address(), envelope.sender(),
-                         envelope.abandon_handed_job().number()});
   const HostedKey key{envelope.sender_address(), envelope.sender(),
                       envelope.abandon_handed_job().number()};
+  const auto found = this->hosted.find(key);
   if (found != this->hosted.end()) {
     const HostedJob job = found->second;
     this->hosted.erase(found);
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -64,7 +64,7 @@
   placement.incarnation = member->announce.incarnation();
   placement.holder_steady_ms = this->cluster.SteadyMsOf(*member);
   wire::PlaceRequest& request =
-      *this->pending_requests[address].mutable_place();
+      *this->pending_requests[{address, placement.incarnation}].mutable_place();
   request.set_receiver_steady_ms(placement.holder_steady_ms);
   wire::PlacedTask& task = *request.add_tasks();
   task.set_placement(id);
@@ -87,24 +87,26 @@
 }
 
 void RemoteRuns::Flush() {
-  auto outgoing = std::move(this->pending_requests);
-  this->pending_requests.clear();
-  for (auto& [address, envelope] : outgoing) {
-    this->cluster.Send(address, std::move(envelope));
-  }
-  outgoing = std::move(this->pending_reports);
-  this->pending_reports.clear();
-  for (auto& [address, envelope] : outgoing) {
+  for (auto& [receiver, envelope] : this->pending_reports) {
     envelope.mutable_placement_report()->set_steady_ms(
         this->cluster.OwnSteadyMs());
-    this->cluster.Send(address, std::move(envelope));
+  }
+  this->SendPending(std::exchange(this->pending_requests, {}));
+  this->SendPending(std::exchange(this->pending_reports, {}));
+}
+
+void RemoteRuns::SendPending(std::map<ProcessKey, wire::Envelope> envelopes) {
+  for (auto& [receiver, envelope] : envelopes) {
+    // The numbers of placements start again with each incarnation.
+    envelope.set_recipient(receiver.second);
+    this->cluster.Send(receiver.first, std::move(envelope));
   }
 }
 
 void RemoteRuns::Stop(std::uint64_t placement) {
   const auto found = this->placements.find(placement);
   if (found == this->placements.end()) return;
-  if (this->Withdraw(placement, found->second.address)) {
+  if (this->Withdraw(placement, found->second)) {
     this->End(placement, RunOutcome::kNotRun);
     return;
   }
@@ -115,14 +117,14 @@
 // Removes a placement from the request that is sent at the next flush. A stop
 // would overtake it, and the task would run on with nobody waiting for it.
 // Returns false when the request was sent.
-bool RemoteRuns::Withdraw(std::uint64_t placement, const std::string& address) {
-  const auto pending = this->pending_requests.find(address);
+bool RemoteRuns::Withdraw(std::uint64_t id, const Placement& placement) {
+  const auto pending =
+      this->pending_requests.find({placement.address, placement.incarnation});
   if (pending == this->pending_requests.end()) return false;
   auto& tasks = *pending->second.mutable_place()->mutable_tasks();
-  const auto task = std::find_if(tasks.begin(), tasks.end(),
-                                 [placement](const wire::PlacedTask& item) {
-                                   return item.placement() == placement;
-                                 });
+  const auto task = std::find_if(
+      tasks.begin(), tasks.end(),
+      [id](const wire::PlacedTask& item) { return item.placement() == id; });
   if (task == tasks.end()) return false;
   tasks.erase(task);
   if (tasks.empty()) this->pending_requests.erase(pending);
@@ -192,57 +194,61 @@
               !unknown);
   }
   for (const wire::PlacedTask& task : request.tasks()) {
-    if (late || unknown) {
-      this->Report(address, task.placement(), RunOutcome::kNotRun);
-      continue;
-    }
-    TaskOrder order;
-    order.task = task.task();
-    order.run = task.run();
-    order.endpoint = task.endpoint();
-    order.incarnation_start_ms = task.incarnation_start_ms();
-    order.payload = task.payload();
-    order.resources = {task.cpu_milli(), task.memory_mb(), task.accelerators()};
-    order.estimate = milliseconds(task.estimate_ms());
-    order.time_left = milliseconds(task.time_left_ms());
     const HostedKey key{address, envelope.sender(), task.placement()};
-    RunHandlers handlers;
-    handlers.on_end = [this, key](RunOutcome outcome) {
-      this->hosted.erase(key);
-      this->Report(std::get<0>(key), std::get<2>(key), outcome);
-    };
-    handlers.on_overdue = [this, key](base::Duration expected) {
-      this->ReportOverdue(std::get<0>(key), std::get<2>(key), expected);
-    };
-    const bool started = this->pool.StartTask(order, std::move(handlers));
-    if (started) {
-      this->hosted[key] = {order.endpoint, order.task, order.run};
-      this->metrics.Count("remote.hosted");
+    if (late || unknown) {
+      this->Report(key, RunOutcome::kNotRun);
     } else {
-      this->metrics.Count("remote.no_room");
-      this->Report(address, task.placement(), RunOutcome::kNotRun);
+      this->StartHosted(key, task);
     }
   }
 }
 
-void RemoteRuns::Report(const std::string& address, std::uint64_t placement,
-                        RunOutcome outcome) {
-  wire::PlacementEnd& end =
-      *this->pending_reports[address].mutable_placement_report()->add_ends();
-  end.set_placement(placement);
-  end.set_outcome(static_cast<std::uint32_t>(outcome));
+void RemoteRuns::StartHosted(const HostedKey& key,
+                             const wire::PlacedTask& task) {
+  TaskOrder order;
+  order.task = task.task();
+  order.run = task.run();
+  order.endpoint = task.endpoint();
+  order.incarnation_start_ms = task.incarnation_start_ms();
+  order.payload = task.payload();
+  order.resources = {task.cpu_milli(), task.memory_mb(), task.accelerators()};
+  order.estimate = milliseconds(task.estimate_ms());
+  order.time_left = milliseconds(task.time_left_ms());
+  RunHandlers handlers;
+  handlers.on_end = [this, key](RunOutcome outcome) {
+    this->hosted.erase(key);
+    this->Report(key, outcome);
+  };
+  handlers.on_overdue = [this, key](base::Duration expected) {
+    this->ReportOverdue(key, expected);
+  };
+  if (!this->pool.StartTask(order, std::move(handlers))) {
+    this->metrics.Count("remote.no_room");
+    this->Report(key, RunOutcome::kNotRun);
+    return;
+  }
+  this->hosted[key] = {order.endpoint, order.task, order.run};
+  this->metrics.Count("remote.hosted");
+}
+
+wire::PlacementReport& RemoteRuns::PendingReport(const HostedKey& key) {
+  const auto& [address, incarnation, placement] = key;
   this->ScheduleFlush();
+  return *this->pending_reports[{address, incarnation}]
+              .mutable_placement_report();
 }
 
-void RemoteRuns::ReportOverdue(const std::string& address,
-                               std::uint64_t placement,
-                               base::Duration expected) {
-  wire::PlacementOverdue& overdue =
-      *this->pending_reports[address].mutable_placement_report()->add_overdue();
-  overdue.set_placement(placement);
+void RemoteRuns::Report(const HostedKey& key, RunOutcome outcome) {
+  wire::PlacementEnd& end = *this->PendingReport(key).add_ends();
+  end.set_placement(std::get<2>(key));
+  end.set_outcome(static_cast<std::uint32_t>(outcome));
+}
+
+void RemoteRuns::ReportOverdue(const HostedKey& key, base::Duration expected) {
+  wire::PlacementOverdue& overdue = *this->PendingReport(key).add_overdue();
+  overdue.set_placement(std::get<2>(key));
   overdue.set_expected_ms(
       static_cast<std::uint32_t>(expected / milliseconds(1)));
-  this->ScheduleFlush();
 }
 
 void RemoteRuns::ScheduleFlush() {
@@ -274,11 +280,12 @@
 void RemoteRuns::ReceiveStop(const wire::Envelope& envelope) {
   for (const std::uint64_t placement :
        envelope.stop_placements().placements()) {
-    const auto found = this->hosted.find(
-        {envelope.sender_address(), envelope.sender(), placement});
+    const HostedKey key{envelope.sender_address(), envelope.sender(),
+                        placement};
+    const auto found = this->hosted.find(key);
     if (found == this->hosted.end()) {
       // The report of its end was lost, or the task never arrived.
-      this->Report(envelope.sender_address(), placement, RunOutcome::kLost);
+      this->Report(key, RunOutcome::kLost);
       continue;
     }
     const Hosted run = found->second;
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -98,17 +98,21 @@
   /// process that placed it, and by the number of the placement there.
   using HostedKey = std::tuple<std::string, std::string, std::uint64_t>;
 
-  bool Withdraw(std::uint64_t placement, const std::string& address);
+  /// Peer address and incarnation of a process.
+  using ProcessKey = std::pair<std::string, std::string>;
+
+  bool Withdraw(std::uint64_t id, const Placement& placement);
   void SendStop(std::uint64_t id, Placement& placement);
   void Flush();
   void ReceivePlace(const wire::Envelope& envelope);
+  void StartHosted(const HostedKey& key, const wire::PlacedTask& task);
   void ReceiveReport(const wire::Envelope& envelope);
   void ReceiveStop(const wire::Envelope& envelope);
-  void Report(const std::string& address, std::uint64_t placement,
-              RunOutcome outcome);
-  void ReportOverdue(const std::string& address, std::uint64_t placement,
-                     base::Duration expected);
+  wire::PlacementReport& PendingReport(const HostedKey& key);
+  void Report(const HostedKey& key, RunOutcome outcome);
+  void ReportOverdue(const HostedKey& key, base::Duration expected);
   void ScheduleFlush();
+  void SendPending(std::map<ProcessKey, wire::Envelope> envelopes);
   void End(std::uint64_t placement, RunOutcome outcome);
   void CheckHolders();
   void CheckOrigins();
@@ -125,9 +129,9 @@
       placements_by_endpoint;
   /// Latest refusal of a task, by endpoint id.
   std::unordered_map<std::string, Refusal> refusals;
-  /// Envelopes to send at the next flush, by peer address.
-  std::map<std::string, wire::Envelope> pending_requests;
-  std::map<std::string, wire::Envelope> pending_reports;
+  /// Envelopes to send at the next flush, by receiver.
+  std::map<ProcessKey, wire::Envelope> pending_requests;
+  std::map<ProcessKey, wire::Envelope> pending_reports;
   base::Timer flush_timer;
   base::Timer check_timer;
 };
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <optional>
 
 #include "support/hosted_fleet.h"
 
@@ -62,7 +63,34 @@
     return ids;
   }
 
+  // Returns an order for the first endpoint that south0 holds. Its runs take
+  // `time`.
+  runs::TaskOrder OrderAtSouth0(const std::string& task, base::Duration time) {
+    runs::TaskOrder order;
+    order.task = task;
+    order.endpoint =
+        this->fleet.Process("south0").pool.Sessions().begin()->first;
+    order.payload = task;
+    order.resources = {6'800, 64, 0};
+    order.time_left = seconds(10);
+    this->fleet.endpoints.SetTask(task, time, RunEndKind::kDone);
+    return order;
+  }
+
+  // Places a task at south0 and returns the number of the placement.
+  std::uint64_t PlaceAtSouth0(const std::string& process,
+                              const runs::TaskOrder& order) {
+    runs::RunHandlers handlers;
+    handlers.on_end = [this](runs::RunOutcome outcome) {
+      this->ends.push_back(outcome);
+    };
+    return this->fleet.Process(process).remote.Place("south0", order,
+                                                     std::move(handlers));
+  }
+
   HostedFleet fleet;
+  /// Outcomes that were reported to PlaceAtSouth0().
+  std::vector<runs::RunOutcome> ends;
 };
 
 TEST_F(HostedRulesTest, JobCompletesWhenAllTasksAreDone) {
@@ -447,23 +475,38 @@
 // the placement overtook the request.
 TEST_F(HostedRulesTest, TaskStoppedAtOnceAfterItsPlacementDoesNotRun) {
   this->StartTwoDomains();
-  runs::TaskOrder order;
-  order.task = "t";
-  order.endpoint = this->fleet.Process("south0").pool.Sessions().begin()->first;
-  order.payload = "p";
-  order.resources = {6'800, 64, 0};
-  this->fleet.endpoints.SetTask("p", seconds(1), RunEndKind::kDone);
-  std::vector<runs::RunOutcome> ends;
-  runs::RunHandlers handlers;
-  handlers.on_end = [&ends](runs::RunOutcome outcome) {
-    ends.push_back(outcome);
-  };
-  runs::RemoteRuns& remote = this->fleet.Process("north0").remote;
-  remote.Stop(remote.Place("south0", order, handlers));
+  const runs::TaskOrder order = this->OrderAtSouth0("t", seconds(1));
+  const std::uint64_t placement = this->PlaceAtSouth0("north0", order);
+  this->fleet.Process("north0").remote.Stop(placement);
   this->fleet.Run(milliseconds(500));
   EXPECT_EQ(this->fleet.endpoints.Starts(), 0U);
-  ASSERT_EQ(ends.size(), 1U);
-  EXPECT_EQ(ends[0], runs::RunOutcome::kNotRun);
+  EXPECT_EQ(this->ends,
+            std::vector<runs::RunOutcome>{runs::RunOutcome::kNotRun});
+}
+
+// Guards against a task that is started elsewhere while it runs: a process
+// restarts, and takes the reported end of a run that its previous incarnation
+// placed for the end of its own placement with the same number.
+TEST_F(HostedRulesTest, ReportForPreviousIncarnationIsIgnored) {
+  constexpr base::Duration kDelay = milliseconds(1'000);
+  this->StartTwoDomains();
+  this->PlaceAtSouth0("north0", this->OrderAtSouth0("t", milliseconds(100)));
+  this->fleet.Run(milliseconds(80));
+  this->fleet.network.Disturb("south0", "north0", {0, kDelay, kDelay});
+  this->fleet.Run(milliseconds(60));
+  ASSERT_EQ(this->fleet.endpoints.DoneOf("t"), 1U);
+  this->fleet.network.HealAll();
+  this->fleet.Kill("north0");
+  HostedProcess& restarted = this->fleet.AddProcess("north0", "north");
+  while (restarted.cluster.Board().FindLive("south0") == nullptr) {
+    this->fleet.Run(milliseconds(1));
+  }
+  this->PlaceAtSouth0("north0", this->OrderAtSouth0("u", seconds(2)));
+  this->fleet.Run(milliseconds(1'500));
+  ASSERT_EQ(this->fleet.endpoints.StartsOf("u"), 1U);
+  EXPECT_TRUE(this->ends.empty());
+  this->fleet.Run(milliseconds(600));
+  EXPECT_EQ(this->ends, std::vector<runs::RunOutcome>{runs::RunOutcome::kDone});
 }
 
 // A process that receives no messages gives up its runs at other processes.
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -262,6 +262,35 @@
   EXPECT_EQ(this->Running(), 0U);
 }
 
+// Guards against a job that is answered while it runs: an entry restarts, and
+// takes an answer for its previous incarnation for that of its own job with the
+// same number.
+TEST_F(JobRelayTest, AnswerForPreviousIncarnationIsIgnored) {
+  constexpr base::Duration kDelay = milliseconds(1'500);
+  HostedFleet small;
+  small.Publish("1 /l/:1:12000");
+  small.AddEndpoint("e", "north");
+  small.AddProcess("strong", "north", kStrongWeight);
+  small.AddProcess("weak", "north", kWeakWeight);
+  small.Run(seconds(3));
+  small.Submit("weak", kLongTimeoutPath, 1, milliseconds(100));
+  small.Run(milliseconds(80));
+  small.network.Disturb("strong", "weak", {0, kDelay, kDelay});
+  small.Run(milliseconds(100));
+  ASSERT_EQ(small.Process("strong").jobs.OpenJobs(), 0U);
+  small.network.HealAll();
+  small.Kill("weak");
+  small.AddProcess("weak", "north", kWeakWeight);
+  small.Run(seconds(1));
+  const auto answer = small.Submit("weak", kLongTimeoutPath, 1, seconds(2));
+  small.Run(seconds(1));
+  ASSERT_EQ(small.endpoints.RunningAt("e"), 1U);
+  EXPECT_FALSE(answer->has_value());
+  small.Run(milliseconds(1'200));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((**answer).end, JobEnd::kComplete);
+}
+
 // An entry rejects new jobs during a planned stop, because a late job could
 // outlast the process.
 TEST_F(JobRelayTest, StoppingEntryRejectsNewJobs) {
--- a/tests/support/fake_network.cc
+++ b/tests/support/fake_network.cc
@@ -30,8 +30,9 @@
   traffic.bytes += envelope.ByteSizeLong();
   const int copies = this->random.Chance(this->duplicated) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    if (this->random.Chance(this->lost)) continue;
-    this->clock.StartTimer(this->Delay(), [this, from, to, envelope] {
+    if (this->IsLost(from, to)) continue;
+    this->clock.StartTimer(this->DelayFor(from, to), [this, from, to,
+                                                      envelope] {
       if (this->partitions.contains({this->domains[from], this->domains[to]})) {
         return;
       }
@@ -61,6 +62,16 @@
 void FakeNetwork::HealAll() {
   this->partitions.clear();
   this->cuts.clear();
+  this->disturbances.clear();
+}
+
+void FakeNetwork::Disturb(const std::string& from, const std::string& to,
+                          const Disturbance& disturbance) {
+  this->disturbances[{from, to}] = disturbance;
+}
+
+void FakeNetwork::Calm(const std::string& from, const std::string& to) {
+  this->disturbances.erase({from, to});
 }
 
 void FakeNetwork::SetFaults(double lost, double duplicated,
@@ -70,7 +81,22 @@
   this->max_delay = max_delay;
 }
 
-base::Duration FakeNetwork::Delay() {
+bool FakeNetwork::IsLost(const std::string& from, const std::string& to) {
+  const auto found = this->disturbances.find({from, to});
+  if (found != this->disturbances.end() &&
+      this->random.Chance(found->second.lost)) {
+    return true;
+  }
+  return this->random.Chance(this->lost);
+}
+
+base::Duration FakeNetwork::DelayFor(const std::string& from,
+                                     const std::string& to) {
+  const auto found = this->disturbances.find({from, to});
+  if (found != this->disturbances.end()) {
+    return this->random.Between(found->second.min_delay,
+                                found->second.max_delay);
+  }
   return this->random.Between(kMinDelay, this->max_delay);
 }
 
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -39,6 +39,21 @@
   void Cut(const std::string& from, const std::string& to);
   void HealAll();
 
+  /// Fate of the messages of one process to another around a reset of their
+  /// connection.
+  struct Disturbance {
+    /// Fraction of messages, from 0 to 1, that are lost.
+    double lost = 0;
+    /// Bounds of the delay of the others. Later messages overtake them.
+    base::Duration min_delay{0};
+    base::Duration max_delay{0};
+  };
+  /// Applies to the messages that are sent until Calm() or HealAll(). The
+  /// opposite direction is unaffected.
+  void Disturb(const std::string& from, const std::string& to,
+               const Disturbance& disturbance);
+  void Calm(const std::string& from, const std::string& to);
+
   /// Counts the messages and bytes that a process has sent.
   struct Traffic {
     std::uint64_t messages = 0;
@@ -60,7 +75,8 @@
   };
 
   void Deliver(const std::string& to, const wire::Envelope& envelope);
-  base::Duration Delay();
+  base::Duration DelayFor(const std::string& from, const std::string& to);
+  bool IsLost(const std::string& from, const std::string& to);
 
   base::Clock& clock;
   Random& random;
@@ -68,6 +84,7 @@
   std::map<std::string, std::string> domains;
   std::set<std::pair<std::string, std::string>> partitions;
   std::set<std::pair<std::string, std::string>> cuts;
+  std::map<std::pair<std::string, std::string>, Disturbance> disturbances;
   std::map<std::string, Traffic> sent;
   double lost = 0;
   double duplicated = 0;
