Runs: ignore place requests that were stopped, or that arrive twice

Seen by callers: a task that runs twice.

Cause: a holder answered "lost" to the stop of a placement that it did not know. When the connection was reset, the request could arrive after the stop; the task then ran with nobody waiting, while its process started it elsewhere. A second copy of a request (the transport may duplicate) was refused, and the refusal was taken for the outcome of the first.

Change: the holder remembers the placements that it decided on for 0.5 s. A request is refused as late 0.25 s after it was sent, so later ones need no memory. A request for a remembered placement is ignored without an answer.

Before: TaskStoppedBeforeItsPlacementArrivesDoesNotRun "Starts() Which is: 1", RefusalOfRepeatedPlacementDoesNotEndItsRun "ends Which is: { 03 }" (not run) while the run was at work. After: both pass.

--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -19,6 +19,9 @@
 // Requests older than this are refused. A request that a partition has delayed
 // must not start a task that its process has already given up.
 constexpr std::uint64_t kMaxPlaceAgeMs = 250;
+// Time for which the decision on a placement is kept. Its request was sent
+// before, so it is refused as late from then on.
+constexpr std::uint64_t kSettledMemoryMs = 2 * kMaxPlaceAgeMs;
 // Heartbeats sent within this time after a request may not yet include its
 // task.
 constexpr std::uint64_t kHeartbeatSlackMs = 4;
@@ -195,6 +198,12 @@
   }
   for (const wire::PlacedTask& task : request.tasks()) {
     const HostedKey key{address, envelope.sender(), task.placement()};
+    // A second copy, or the task was stopped before it arrived. Its process was
+    // told then, and an answer to a copy would count for the first request.
+    if (!this->settled.try_emplace(key, now).second) {
+      this->metrics.Count("remote.settled_placements");
+      continue;
+    }
     if (late || unknown) {
       this->Report(key, RunOutcome::kNotRun);
     } else {
@@ -284,7 +293,9 @@
                         placement};
     const auto found = this->hosted.find(key);
     if (found == this->hosted.end()) {
-      // The report of its end was lost, or the task never arrived.
+      // The report of its end was lost, or the task has not arrived. It may
+      // still do so when the connection was reset.
+      this->settled[key] = this->cluster.OwnSteadyMs();
       this->Report(key, RunOutcome::kLost);
       continue;
     }
@@ -308,6 +319,7 @@
 void RemoteRuns::CheckMembers() {
   this->CheckHolders();
   this->CheckOrigins();
+  this->DropSettled();
 }
 
 void RemoteRuns::CheckHolders() {
@@ -353,4 +365,12 @@
   }
 }
 
+// Forgets decisions on requests that would be refused as late by now.
+void RemoteRuns::DropSettled() {
+  const std::uint64_t now = this->cluster.OwnSteadyMs();
+  std::erase_if(this->settled, [now](const auto& item) {
+    return now > item.second + kSettledMemoryMs;
+  });
+}
+
 }  // namespace hawthornwheel::runs
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -116,6 +116,7 @@
   void End(std::uint64_t placement, RunOutcome outcome);
   void CheckHolders();
   void CheckOrigins();
+  void DropSettled();
 
   base::Clock& clock;
   base::Metrics& metrics;
@@ -124,6 +125,10 @@
   std::uint64_t next_placement = 1;
   std::map<std::uint64_t, Placement> placements;
   std::map<HostedKey, Hosted> hosted;
+  /// Placements of other processes that were decided on: refused, started, or
+  /// stopped before they arrived. A request for them that arrives later is
+  /// ignored. The values are own steady clock readings in milliseconds.
+  std::map<HostedKey, std::uint64_t> settled;
   /// Placements without a reported end, by endpoint id.
   std::unordered_map<std::string, std::vector<std::uint64_t>>
       placements_by_endpoint;
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -484,6 +484,38 @@
             std::vector<runs::RunOutcome>{runs::RunOutcome::kNotRun});
 }
 
+// Guards against a task that runs with nobody waiting for it, beside its next
+// run: a placement is held up by a reset of the connection, the stop arrives
+// first, and the holder answers that it does not know the task.
+TEST_F(HostedRulesTest, TaskStoppedBeforeItsPlacementArrivesDoesNotRun) {
+  this->StartTwoDomains();
+  this->fleet.network.Disturb("north0", "south0",
+                              {0, milliseconds(200), milliseconds(200)});
+  const std::uint64_t placement =
+      this->PlaceAtSouth0("north0", this->OrderAtSouth0("t", seconds(1)));
+  this->fleet.Run(milliseconds(1));
+  this->fleet.network.Calm("north0", "south0");
+  this->fleet.Process("north0").remote.Stop(placement);
+  this->fleet.Run(milliseconds(50));
+  EXPECT_EQ(this->ends, std::vector<runs::RunOutcome>{runs::RunOutcome::kLost});
+  this->fleet.Run(milliseconds(500));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 0U);
+}
+
+// Guards against a task that is started elsewhere while it runs: the holder
+// refuses a second copy of the request, and the process that placed the task
+// takes that for the outcome of the first.
+TEST_F(HostedRulesTest, RefusalOfRepeatedPlacementDoesNotEndItsRun) {
+  this->StartTwoDomains();
+  this->fleet.network.SetFaults(0, 1, milliseconds(2));
+  this->PlaceAtSouth0("north0", this->OrderAtSouth0("t", milliseconds(100)));
+  this->fleet.Run(milliseconds(50));
+  EXPECT_TRUE(this->ends.empty());
+  this->fleet.Run(milliseconds(200));
+  EXPECT_EQ(this->ends, std::vector<runs::RunOutcome>{runs::RunOutcome::kDone});
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 1U);
+}
+
 // Guards against a task that is started elsewhere while it runs: a process
 // restarts, and takes the reported end of a run that its previous incarnation
 // placed for the end of its own placement with the same number.
