Jobs: ignore forwarded jobs that were abandoned, or that arrive twice

Seen by callers: none is known. The random test of connection resets shows it.

Cause: a coordinator confirmed the abandonment of a job that it did not know. When the connection was reset, the job could arrive after that and ran with nobody waiting, beside its next submission. This covers a cancel as well: the entry abandons the job. A second copy of a forwarded job counted as another caller, so the job went on when its caller had left.

Change: the coordinator remembers the numbers that it decided on for 0.5 s, as for placements.

Before: JobAbandonedBeforeItArrivesDoesNotRun "Starts() Which is: 1", RepeatedForwardedJobHasOneCaller "Running() Which is: 1" after the cancel. After: both pass.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -24,6 +24,9 @@
 // A job that was in transit for longer is rejected, since its entry process may
 // have given it up.
 constexpr std::uint64_t kMaxTransitMs = 250;
+// Time for which the decision on a forwarded job is kept. Its message was sent
+// before, so it is rejected as late from then on.
+constexpr std::uint64_t kSettledMemoryMs = 2 * kMaxTransitMs;
 // Messages that end a job may be lost with a connection that was reset, so they
 // are sent again.
 constexpr base::Duration kRetryInterval = milliseconds(150);
@@ -193,6 +196,11 @@
   const cluster::ClusterBoard::Member* entry =
       this->parts.cluster.Board().FindLive(key.address);
   const std::uint64_t now = this->parts.cluster.OwnSteadyMs();
+  // A second copy, or the job was abandoned before it arrived.
+  if (!this->settled.try_emplace(key, now).second) {
+    this->parts.metrics.Count("relay.settled_jobs");
+    return;
+  }
   const bool late = now > job.receiver_steady_ms() + kMaxTransitMs;
   const bool unknown =
       entry == nullptr || entry->announce.incarnation() != key.incarnation;
@@ -264,6 +272,8 @@
 void JobRelay::ReceiveAbandon(const wire::Envelope& envelope) {
   const HostedKey key{envelope.sender_address(), envelope.sender(),
                       envelope.abandon_handed_job().number()};
+  // The job may still arrive when the connection was reset.
+  this->settled[key] = this->parts.cluster.OwnSteadyMs();
   const auto found = this->hosted.find(key);
   if (found != this->hosted.end()) {
     const HostedJob job = found->second;
@@ -364,6 +374,10 @@
     this->SendAbandon(number, abandonment.address);
   }
   if (!this->pending_cancels.empty()) this->SendCancels();
+  const std::uint64_t steady_ms = this->parts.cluster.OwnSteadyMs();
+  std::erase_if(this->settled, [steady_ms](const auto& item) {
+    return steady_ms > item.second + kSettledMemoryMs;
+  });
 }
 
 // The caller's request may have reached another process than the job did.
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -135,6 +135,10 @@
   std::uint64_t next_number;
   std::map<std::uint64_t, ForwardedJob> forwarded;
   std::map<HostedKey, HostedJob> hosted;
+  /// Jobs of other processes that were accepted, rejected, or abandoned before
+  /// they arrived. A message with them that arrives later is ignored. The
+  /// values are own steady clock readings in milliseconds.
+  std::map<HostedKey, std::uint64_t> settled;
   /// Jobs that were given up and not answered since, by number.
   std::map<std::uint64_t, Abandonment> abandoned;
   /// Cancelled jobs that are not known here, with the number of times that the
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -262,6 +262,36 @@
   EXPECT_EQ(this->Running(), 0U);
 }
 
+// Guards against a job that runs with nobody waiting for it, beside its next
+// submission: the forwarded job is held up by a reset of the connection, and
+// the coordinator confirms that it was abandoned before it arrives.
+TEST_F(JobRelayTest, JobAbandonedBeforeItArrivesDoesNotRun) {
+  for (const char* coordinator : {"strong0", "strong1"}) {
+    this->fleet.network.Disturb("weak0", coordinator,
+                                {0, milliseconds(200), milliseconds(200)});
+  }
+  const std::string id =
+      this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 1, seconds(5));
+  this->fleet.Run(milliseconds(1));
+  this->fleet.network.HealAll();
+  this->fleet.Process("weak0").relay.Cancel(id);
+  this->fleet.Run(seconds(1));
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 0U);
+}
+
+// Guards against a job that runs on after its caller has left: a second copy of
+// the message counted as another caller.
+TEST_F(JobRelayTest, RepeatedForwardedJobHasOneCaller) {
+  this->fleet.network.SetFaults(0, 1, milliseconds(2));
+  const std::string id =
+      this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 1, seconds(5));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->Running(), 1U);
+  this->fleet.Process("weak0").relay.Cancel(id);
+  this->fleet.Run(milliseconds(500));
+  EXPECT_EQ(this->Running(), 0U);
+}
+
 // Guards against a job that is answered while it runs: an entry restarts, and
 // takes an answer for its previous incarnation for that of its own job with the
 // same number.
