Runs: a holder starts no second run of a task that is open here

Cause: two processes with copies of a job may place the same task at one holder. The holder refused only the same run number at the same endpoint. The refused process placed the next number there one round trip later, and the holder started it beside the first run. This fits the record (3 ms, run 2 after run 1, one process); that it was this path is not proved.

Change: EndpointPool refuses a task while a run of it is open at an endpoint of this process. Endpoints of other holders are not covered.

Before: HolderStartsNoSecondRunOfTask "t runs twice: run 1 at south-e0 and run 2 at south-e0". After: it passes.

--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -72,9 +72,19 @@
 bool EndpointPool::StartTask(const TaskOrder& order, RunHandlers handlers) {
   const auto found = this->sessions.find(order.endpoint);
   if (found == this->sessions.end()) return false;
-  const bool started = found->second->Start(order, std::move(handlers));
-  if (started) this->MarkChanged(order.endpoint);
-  return started;
+  if (this->open_tasks.contains(order.task)) {
+    this->parts.metrics.Count("runs.open_elsewhere");
+    return false;
+  }
+  handlers.on_end = [this, task = order.task,
+                     on_end = std::move(handlers.on_end)](RunOutcome outcome) {
+    this->open_tasks.erase(task);
+    on_end(outcome);
+  };
+  if (!found->second->Start(order, std::move(handlers))) return false;
+  this->open_tasks.insert(order.task);
+  this->MarkChanged(order.endpoint);
+  return true;
 }
 
 void EndpointPool::StopTask(const std::string& endpoint,
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "base/timer.h"
@@ -45,7 +46,8 @@
 
   /// Starts a task at the endpoint that the order names. Returns false without
   /// any effect when the endpoint is not held, does not accept tasks, or has
-  /// too few free resources.
+  /// too few free resources, and while a run of the task is open at an endpoint
+  /// of this process: another process may have placed a copy of its job.
   bool StartTask(const TaskOrder& order, RunHandlers handlers);
 
   /// Stops a run. Its handler is called when it has ended.
@@ -76,6 +78,8 @@
   cluster::EndpointOwners owners;
   FencingTokenGenerator tokens;
   std::map<std::string, std::unique_ptr<EndpointSession>> sessions;
+  /// Tasks with a run whose end is not reported yet.
+  std::unordered_set<std::string> open_tasks;
   /// Times from which endpoints that were fenced off may be claimed again, by
   /// endpoint id.
   std::map<std::string, base::TimePoint> claim_backoff_until;
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -541,6 +541,22 @@
   EXPECT_EQ(this->ends, std::vector<runs::RunOutcome>{runs::RunOutcome::kDone});
 }
 
+// Guards against two runs of a task at one endpoint, both by orders of its
+// holder: two processes place copies of a job there.
+TEST_F(HostedRulesTest, HolderStartsNoSecondRunOfTask) {
+  this->StartTwoDomains();
+  runs::TaskOrder order = this->OrderAtSouth0("t", milliseconds(500));
+  this->PlaceAtSouth0("north0", order);
+  this->fleet.Run(milliseconds(20));
+  ASSERT_EQ(this->fleet.endpoints.Starts(), 1U);
+  order.run = 2;
+  this->PlaceAtSouth0("north1", order);
+  this->fleet.Run(milliseconds(20));
+  EXPECT_EQ(this->ends,
+            std::vector<runs::RunOutcome>{runs::RunOutcome::kNotRun});
+  EXPECT_EQ(this->fleet.endpoints.Starts(), 1U);
+}
+
 // Guards against two runs of a task: a job is submitted again while the runs of
 // its first submission are being stopped.
 TEST_F(HostedRulesTest, JobSubmittedAgainWaitsForRunsThatAreBeingStopped) {
