Runs: stop hosted runs when their process cannot have heard this one

Seen by callers: none is known.

Cause: a process counts the runs at a holder as lost 2.0 s after the last heartbeat that it heard from it. The holder relied on the stop, or on missing the heartbeats of that process itself. With a link whose queue grows, heartbeats that were sent long ago keep arriving and the stop comes too late; after a pause the holder starts to count anew.

Change: each heartbeat already confirms the latest one of its receiver. A holder stops the runs of a process that has confirmed none of the last 1.8 s, by the holder's own clock. No new messages.

After: it passes.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -167,11 +167,15 @@
 bool ClusterController::IsConfirmedBy(
     const ClusterBoard::Member& member) const {
   if (!member.live || !ClusterBoard::IsReceivedBy(member)) return false;
+  return this->TimeSinceConfirmed(member) <
+         HeartbeatSender::HeartbeatTimeout(member.reported_interval);
+}
+
+base::Duration ClusterController::TimeSinceConfirmed(
+    const ClusterBoard::Member& member) const {
   // A process of an older version confirms nothing.
-  if (member.confirmed_steady_ms == 0) return true;
-  const base::Duration age =
-      milliseconds(this->OwnSteadyMs() - member.confirmed_steady_ms);
-  return age < HeartbeatSender::HeartbeatTimeout(member.reported_interval);
+  if (member.confirmed_steady_ms == 0) return base::Duration{0};
+  return milliseconds(this->OwnSteadyMs() - member.confirmed_steady_ms);
 }
 
 void ClusterController::Announce() {
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -94,6 +94,11 @@
   /// Pauses of this process count, whether it has noticed them or not.
   bool IsConfirmedBy(const ClusterBoard::Member& member) const;
 
+  /// Returns the time since this process sent the latest heartbeat that
+  /// `member` has confirmed, or 0 while it has confirmed none. Late heartbeats
+  /// of `member` do not reduce it.
+  base::Duration TimeSinceConfirmed(const ClusterBoard::Member& member) const;
+
   /// Returns whether this process has been a coordinator for long enough to
   /// know which other domains have coordinators.
   bool AreOtherDomainsKnown() const;
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -32,6 +32,8 @@
 // 200 ms, and stops the runs.
 constexpr base::Duration kLostRunsTimeout = milliseconds(1'200);
 constexpr base::Duration kCheckInterval = milliseconds(100);
+// Part of that time which is left to find and to stop the runs.
+constexpr base::Duration kStopReserve = milliseconds(200);
 // Interval at which a stop is sent again until the end is reported.
 constexpr base::Duration kStopRetry = milliseconds(150);
 
@@ -354,7 +356,8 @@
     const cluster::ClusterBoard::Member* origin =
         this->cluster.Board().FindLive(std::get<0>(key));
     if (origin == nullptr ||
-        origin->announce.incarnation() != std::get<1>(key)) {
+        origin->announce.incarnation() != std::get<1>(key) ||
+        this->HasGivenUp(*origin)) {
       orphans.push_back(run);
     }
   }
@@ -365,6 +368,15 @@
   }
 }
 
+// Returns whether a process that placed tasks here may have counted them as
+// lost by the time they are stopped: it has confirmed no heartbeat for that
+// long. Its own heartbeats may arrive, but may have been sent long ago.
+bool RemoteRuns::HasGivenUp(const cluster::ClusterBoard::Member& origin) const {
+  return this->cluster.TimeSinceConfirmed(origin) >=
+         cluster::HeartbeatSender::HeartbeatTimeout(origin.reported_interval) +
+             kLostRunsTimeout - kStopReserve;
+}
+
 // Forgets decisions on requests that would be refused as late by now.
 void RemoteRuns::DropSettled() {
   const std::uint64_t now = this->cluster.OwnSteadyMs();
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -116,6 +116,7 @@
   void End(std::uint64_t placement, RunOutcome outcome);
   void CheckHolders();
   void CheckOrigins();
+  bool HasGivenUp(const cluster::ClusterBoard::Member& origin) const;
   void DropSettled();
 
   base::Clock& clock;
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -583,6 +583,30 @@
   EXPECT_EQ(this->fleet.endpoints.Starts(), 12U);
 }
 
+// Guards against a task that runs twice: a holder is not heard and its runs are
+// started elsewhere, while it still gets heartbeats that were sent long ago and
+// goes on.
+TEST_F(HostedRulesTest, RunsAreStoppedWhenHeartbeatsOfTheirProcessAreLate) {
+  constexpr int kSteps = 10;
+  constexpr base::Duration kStep = milliseconds(200);
+  constexpr base::Duration kAddedDelay = milliseconds(150);
+  this->StartTwoDomains();
+  this->fleet.Submit("north0", kLongTimeoutPath, 16, seconds(6));
+  this->fleet.Run(milliseconds(50));
+  ASSERT_GT(this->RunningIn("south"), 0U);
+  // Free capacity at which the tasks could be started again.
+  for (int i = 4; i < 12; ++i) {
+    this->fleet.AddEndpoint("north-e" + std::to_string(i), "north");
+  }
+  for (int step = 0; step < 3 * kSteps; ++step) {
+    const base::Duration delay = step * kAddedDelay;
+    this->fleet.network.Disturb("north0", "south0", {0, delay, delay});
+    this->fleet.network.Disturb("north0", "south1", {0, delay, delay});
+    if (step == kSteps) this->fleet.network.Partition("south", "north");
+    this->fleet.Run(kStep);
+  }
+}
+
 // A process that receives no messages gives up its runs at other processes.
 // The other processes still receive its messages, so they would continue the
 // runs. The process detects the partition within 1 s and restarts the tasks
