Jobs: abandon hosted jobs when their entry cannot have heard this process

Seen by callers: none is known.

An entry that does not hear the coordinator answers its caller, who submits the job again 1.3 s later. The coordinator went on while late heartbeats of the entry arrived; it only started no further tasks.

Before: TasksAreStoppedWhenHeartbeatsOfEntryAreLate "Running() Which is: 2" when the caller submits the job again. After: it passes.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -37,6 +37,10 @@
 // process still waits. A caller that lost the entry or the coordinator submits
 // the job again 1.3 s later.
 constexpr base::Duration kForwardValidity = milliseconds(500);
+// Time after which a caller submits a job again that was answered as
+// interrupted, and the part of it that is left to find and to stop the runs.
+constexpr base::Duration kResendTime = milliseconds(1'300);
+constexpr base::Duration kStopReserve = milliseconds(250);
 // Time by which the answer of a coordinator may arrive after the deadline of
 // the job.
 constexpr base::Duration kAnswerSlack = milliseconds(60);
@@ -225,13 +229,22 @@
 }
 
 // Returns whether the entry process of a hosted job is known to have answered
-// the caller: it is lost, or has counted this process as lost since.
+// the caller: it is lost, or has counted this process as lost since. Also when
+// it has confirmed no heartbeat for so long that the caller may submit the job
+// again; its own heartbeats may arrive, but may have been sent long ago.
 bool JobRelay::IsGivenUp(const HostedKey& key, const HostedJob& job) const {
   const cluster::ClusterBoard::Member* entry =
       this->parts.cluster.Board().FindLive(key.address);
-  return entry == nullptr || entry->announce.incarnation() != key.incarnation ||
-         !cluster::ClusterBoard::IsReceivedBy(*entry) ||
-         entry->confirmed_since_steady_ms > job.arrival_steady_ms;
+  if (entry == nullptr || entry->announce.incarnation() != key.incarnation ||
+      !cluster::ClusterBoard::IsReceivedBy(*entry) ||
+      entry->confirmed_since_steady_ms > job.arrival_steady_ms) {
+    return true;
+  }
+  const base::Duration limit =
+      cluster::HeartbeatSender::HeartbeatTimeout(entry->reported_interval) +
+      kResendTime - kStopReserve;
+  return this->parts.clock.Now() - job.arrival >= kForwardValidity &&
+         this->parts.cluster.TimeSinceConfirmed(*entry) >= limit;
 }
 
 // Returns whether the entry process of a hosted job is known to wait still. It
@@ -374,6 +387,7 @@
     this->SendAbandon(number, abandonment.address);
   }
   if (!this->pending_cancels.empty()) this->SendCancels();
+  this->CheckMembers();
   const std::uint64_t steady_ms = this->parts.cluster.OwnSteadyMs();
   std::erase_if(this->settled, [steady_ms](const auto& item) {
     return steady_ms > item.second + kSettledMemoryMs;
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -234,6 +234,34 @@
   EXPECT_EQ((**answer).end, JobEnd::kInterrupted);
 }
 
+// Guards against a task that runs twice: the entry does not hear the
+// coordinator and answers the caller, while the coordinator still gets
+// heartbeats of the entry that were sent long ago.
+TEST_F(JobRelayTest, TasksAreStoppedWhenHeartbeatsOfEntryAreLate) {
+  constexpr int kSteps = 10;
+  constexpr base::Duration kStep = milliseconds(200);
+  constexpr base::Duration kAddedDelay = milliseconds(150);
+  const auto answer =
+      this->fleet.Submit("weak0", kLongTimeoutPath, 2, seconds(8));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->Running(), 2U);
+  const std::string coordinator = this->CoordinatorOfOpenJob().name;
+  base::Duration delay{0};
+  for (int step = 0; step < 3 * kSteps && !answer->has_value(); ++step) {
+    this->fleet.network.Disturb("weak0", coordinator, {0, delay, delay});
+    if (step == kSteps) this->fleet.network.Cut(coordinator, "weak0");
+    this->fleet.Run(kStep);
+    delay += kAddedDelay;
+  }
+  ASSERT_TRUE(answer->has_value());
+  for (base::Duration waited{0}; waited < kResendTime; waited += kStep) {
+    delay += kAddedDelay;
+    this->fleet.network.Disturb("weak0", coordinator, {0, delay, delay});
+    this->fleet.Run(kStep);
+  }
+  EXPECT_EQ(this->Running(), 0U);
+}
+
 // Guards against a cancelled job that runs on: the cancel request reached
 // another process than the job did (review case 5).
 TEST_F(JobRelayTest, JobIsCancelledThroughAnyProcess) {
