--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -27,6 +27,9 @@
 // Time for which the decision on a forwarded job is kept. Its message was sent
 // before, so it is rejected as late from then on.
 constexpr std::uint64_t kSettledMemoryMs = 2 * kMaxTransitMs;
+// Time for which the coordinator of a job is kept after its end. Its runs have
+// been stopped by then, also when the first messages were lost.
+constexpr base::Duration kLatestForwardRetention = milliseconds(1'000);
 // Messages that end a job may be lost with a connection that was reset, so they
 // are sent again.
 constexpr base::Duration kRetryInterval = milliseconds(150);
@@ -93,13 +96,12 @@
       configuration == nullptr
           ? nullptr
           : configuration->FindRoute(request.host, request.path);
-  const bool may_forward = !this->parts.cluster.Board().is_coordinator &&
-                           !this->parts.coordinator.RejectsNewJobs() &&
+  const bool may_forward = !this->parts.coordinator.RejectsNewJobs() &&
                            route != nullptr &&
                            !route->requires_placement_hint &&
                            !this->parts.coordinator.Contains(request.id);
   const std::string address =
-      may_forward ? this->ChooseCoordinator(request.id) : std::string();
+      may_forward ? this->CoordinatorFor(request.id) : std::string();
   if (address.empty()) {
     return this->parts.coordinator.Submit(std::move(request),
                                           std::move(respond));
@@ -111,6 +113,7 @@
   job.incarnation =
       this->parts.cluster.Board().FindLive(address)->announce.incarnation();
   job.respond = std::move(respond);
+  this->latest_forwards[job.id] = {address, job.incarnation, {}};
   job.timer = std::make_unique<base::Timer>(this->parts.clock);
   base::Duration timeout = route->timeout;
   if (request.caller_timeout > base::Duration{0}) {
@@ -126,6 +129,24 @@
   return number;
 }
 
+// Returns the process to forward a job to, or an empty address to run it here.
+// A copy follows the first submission, also when the roles have changed since.
+std::string JobRelay::CoordinatorFor(const std::string& job) const {
+  const cluster::ClusterBoard& board = this->parts.cluster.Board();
+  const auto earlier = this->latest_forwards.find(job);
+  if (earlier != this->latest_forwards.end()) {
+    const cluster::ClusterBoard::Member* member =
+        board.FindLive(earlier->second.address);
+    const bool joins = !earlier->second.ended_at;
+    if (member != nullptr &&
+        member->announce.incarnation() == earlier->second.incarnation &&
+        (joins || member->is_coordinator)) {
+      return earlier->second.address;
+    }
+  }
+  return board.is_coordinator ? std::string() : this->ChooseCoordinator(job);
+}
+
 std::string JobRelay::ChooseCoordinator(const std::string& job) const {
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
   std::string chosen;
@@ -302,6 +323,10 @@
   if (found == this->forwarded.end()) return;
   const ForwardedJob job = std::move(found->second);
   this->forwarded.erase(found);
+  const auto latest = this->latest_forwards.find(job.id);
+  if (latest != this->latest_forwards.end()) {
+    latest->second.ended_at = this->parts.clock.Now();
+  }
   if (answer.end != JobEnd::kComplete) {
     kLog.Info("Forwarded job ended. job={} coordinator={} end={} cause=\"{}\"",
               job.id, job.address, NameOf(answer.end), cause);
@@ -388,6 +413,10 @@
   }
   if (!this->pending_cancels.empty()) this->SendCancels();
   this->CheckMembers();
+  std::erase_if(this->latest_forwards, [now](const auto& item) {
+    const auto& ended_at = item.second.ended_at;
+    return ended_at && now - *ended_at > kLatestForwardRetention;
+  });
   const std::uint64_t steady_ms = this->parts.cluster.OwnSteadyMs();
   std::erase_if(this->settled, [steady_ms](const auto& item) {
     return steady_ms > item.second + kSettledMemoryMs;
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -81,6 +82,13 @@
     /// Time by which the coordinator ends the job by itself.
     base::TimePoint coordinator_deadline;
   };
+  /// Names the coordinator to which a job was forwarded last.
+  struct LatestForward {
+    std::string address;
+    std::string incarnation;
+    /// Time at which the job ended here; empty while it is open.
+    std::optional<base::TimePoint> ended_at;
+  };
   /// Describes a forwarded job that was given up here. Its coordinator is told
   /// until it confirms, because it may have been lost only for a while.
   struct Abandonment {
@@ -115,6 +123,7 @@
   void GiveUp(std::uint64_t number, JobEnd end, const char* cause);
   void SendAbandon(std::uint64_t number, const std::string& address);
   void RetryMessages();
+  std::string CoordinatorFor(const std::string& job) const;
   std::string ChooseCoordinator(const std::string& job) const;
   void SendJob(std::uint64_t number, const std::string& address,
                const JobRequest& request, const catalog::Route& route,
@@ -139,6 +148,8 @@
   /// they arrived. A message with them that arrives later is ignored. The
   /// values are own steady clock readings in milliseconds.
   std::map<HostedKey, std::uint64_t> settled;
+  /// Forwarded jobs that are open or ended a moment ago, by job id.
+  std::map<std::string, LatestForward> latest_forwards;
   /// Jobs that were given up and not answered since, by number.
   std::map<std::uint64_t, Abandonment> abandoned;
   /// Cancelled jobs that are not known here, with the number of times that the
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -262,6 +262,40 @@
   EXPECT_EQ(this->Running(), 0U);
 }
 
+// Guards against a job that runs at two processes: a copy of it was forwarded
+// to another coordinator, since the first one is leaving.
+TEST_F(JobRelayTest, CopyJoinsJobAtLeavingCoordinator) {
+  const std::string id =
+      this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 1, seconds(3));
+  this->fleet.Run(milliseconds(100));
+  this->CoordinatorOfOpenJob().cluster.Leave();
+  this->fleet.Run(milliseconds(300));
+  this->Resubmit("weak0", id, seconds(3));
+  this->fleet.Run(milliseconds(300));
+  EXPECT_EQ(this->Running(), 1U);
+}
+
+// Guards against a task that runs twice: a job is submitted again while its
+// runs are being stopped, and the copy goes to another coordinator.
+TEST_F(JobRelayTest, CopyFollowsJobThatWasAbandoned) {
+  constexpr std::size_t kJobs = 6;
+  std::vector<std::string> ids;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    ids.push_back(
+        this->fleet.SubmitAndGetId("weak0", kLongTimeoutPath, 1, seconds(5)));
+  }
+  this->fleet.Run(milliseconds(100));
+  this->fleet.AddProcess("strong2", "north", 2 * kStrongWeight);
+  this->fleet.Run(seconds(1));
+  ASSERT_EQ(this->Running(), kJobs);
+  for (const std::string& id : ids) {
+    this->fleet.Process("weak0").relay.Cancel(id);
+    this->Resubmit("weak0", id, seconds(5));
+  }
+  this->fleet.Run(milliseconds(300));
+  EXPECT_EQ(this->Running(), kJobs);
+}
+
 // Guards against a cancelled job that runs on: the cancel request reached
 // another process than the job did (review case 5).
 TEST_F(JobRelayTest, JobIsCancelledThroughAnyProcess) {
