Runs: read each list of runs that is newer than the last list

Cause: a session skips a list of runs whose clock is older than its latest reading of the endpoint's clock. That reading came from any answer. A process whose claim was refused had the clock of the earlier incarnation, skipped the list that confirmed its claim at the new one, and became ready without the runs of the other process. The answer to a stop or a start that overtakes the list of a claim does the same.

Change: a list is compared with the last list only; the first incarnation that a session learns starts with no reading of the clock.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -472,13 +472,16 @@
     this->PollAgain();
     return;
   }
-  const bool newest = reply.order.clock_ms >= this->clock_ms;
+  const bool newest = reply.order.clock_ms >= this->list_clock_ms;
   this->RecordClock(reply.order);
   switch (reply.order.outcome) {
     case OrderOutcome::kAccepted:
       this->acked_end_seq = std::max(this->acked_end_seq, order.acked_end_seq);
       this->ProcessEnds(reply);
-      if (newest) this->ProcessRunning(order, reply);
+      if (newest) {
+        this->list_clock_ms = reply.order.clock_ms;
+        this->ProcessRunning(order, reply);
+      }
       this->OnPollAccepted(order, reply);
       return;
     case OrderOutcome::kFenced:
@@ -716,6 +719,8 @@
   if (reported_start_ms < this->incarnation_start_ms) return false;
   this->incarnation_start_ms = reported_start_ms;
   if (first) {
+    // An earlier incarnation may have refused the claim.
+    this->clock_ms = 0;
     this->entry_outdated = this->entry.incarnation_start_ms != 0 &&
                            this->entry.incarnation_start_ms < reported_start_ms;
     return true;
@@ -729,6 +734,7 @@
       this->entry.incarnation_start_ms != 0 &&
       this->entry.incarnation_start_ms != this->incarnation_start_ms;
   this->clock_ms = 0;
+  this->list_clock_ms = 0;
   this->seen_end_seq = 0;
   this->acked_end_seq = 0;
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -182,6 +182,8 @@
   /// of that reading.
   std::int64_t clock_ms = 0;
   base::TimePoint clock_read;
+  /// Endpoint's clock in milliseconds at its newest list of runs.
+  std::int64_t list_clock_ms = 0;
   /// Time of the last list of runs.
   base::TimePoint last_list;
   /// Latest time by the local clock at which the leases expire without a
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -426,6 +426,34 @@
   EXPECT_EQ(this->session->RunCount(), 1U);
 }
 
+// Guards against starts beyond the capacity: the list that confirms a claim is
+// skipped, since the answer to a stop has overtaken it.
+TEST_F(EndpointSessionTest, ListOfClaimIsReadThoughAnotherAnswerOvertookIt) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted, {{"x", 1, 10}});
+  ASSERT_EQ(this->orders.stops.size(), 1U);
+  this->AnswerPoll(1, OrderOutcome::kUnanswered);
+  const std::size_t recheck = this->orders.polls.size() - 1;
+  this->endpoint_ms += 20;
+  this->orders.stops[0].answer(this->Reply(OrderOutcome::kAccepted));
+  this->endpoint_ms -= 20;
+  this->AnswerPoll(recheck, OrderOutcome::kAccepted,
+                   {{"x", 1, 10}, {"y", 1, 10}});
+  ASSERT_EQ(this->orders.stops.size(), 2U);
+  EXPECT_EQ(this->orders.stops[1].order.task, "y");
+}
+
+// Guards against starts beyond the capacity and against a second run of a task:
+// a process whose claim was refused reads the list of the restarted endpoint,
+// whose clock has started anew (soak seed 408).
+TEST_F(EndpointSessionTest, ListAfterRestartIsReadByRefusedProcess) {
+  this->endpoint_ms = 500'000;
+  this->AnswerPoll(0, OrderOutcome::kFenced);
+  this->endpoint_ms = 100;
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {{"x", 1, 10}});
+  EXPECT_EQ(this->orders.stops.size(), 1U);
+  EXPECT_FALSE(this->Start("a", 100));
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
