Runs: ignore the clock of an earlier incarnation

Callers saw nothing of this yet; found by reading the code with the users' page on running tasks.

Cause: after a restart the clock of the endpoint starts anew. An answer of the earlier incarnation that arrives late (answers may overtake each other, and only lists of runs name the incarnation) set the reading far ahead. Starts then carried a lease that ends minutes later on the new clock, so that the endpoint does not refuse one that it carries out late as `late`, while the session counts the run as lost at the end of the lease that it assumed. A stop that the earlier incarnation accepted counted as accepted by the new one.

Change: each order remembers the incarnation that was known when it was sent; an answer that does not name another one counts for that one only.

Before: LateAnswerOfEarlierIncarnationDoesNotSetClock fails, lease_until_ms 501011 on a clock that reads 20. After: it passes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -211,9 +211,9 @@
                    kLeaseMargin);
   this->parts.metrics.Count("runs.starts");
   this->parts.orders.Start(
-      start, [this, key, order_fence = this->fence,
+      start, [this, key, sent = this->MakeSentOrder(),
               guard = this->callback_guard](const OrderReply& reply) {
-        if (*guard) this->OnStartReply(key, order_fence, reply);
+        if (*guard) this->OnStartReply(key, sent, reply);
       });
 }
 
@@ -247,10 +247,10 @@
   return held;
 }
 
-void EndpointSession::OnStartReply(const RunKey& key, std::uint64_t order_fence,
+void EndpointSession::OnStartReply(const RunKey& key, const SentOrder& sent,
                                    const OrderReply& reply) {
   if (!this->CheckIncarnation(reply.incarnation_start_ms)) return;
-  this->RecordClock(reply);
+  this->RecordClock(sent, reply);
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
   Run& run = found->second;
@@ -258,14 +258,14 @@
     kLog.Info(
         "Start order was not accepted. endpoint={} task={} run={} fence={} "
         "outcome={} cause=\"{}\"",
-        this->entry.id, key.first, key.second, order_fence,
+        this->entry.id, key.first, key.second, sent.fence,
         runs::NameOf(reply.outcome), reply.cause);
   }
   if (run.start_answered && IsRefusal(reply.outcome)) {
     // The endpoint has listed the run, so it has carried out an earlier
     // delivery of this order.
-    if (reply.outcome == OrderOutcome::kFenced && order_fence == this->fence) {
-      this->OnFenced(order_fence);
+    if (reply.outcome == OrderOutcome::kFenced && sent.fence == this->fence) {
+      this->OnFenced(sent.fence);
     }
     return;
   }
@@ -284,7 +284,7 @@
       // An order that was overtaken by a poll with a raised token is fenced
       // although this process still holds the endpoint.
       this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartRefused);
-      if (order_fence == this->fence) this->OnFenced(order_fence);
+      if (sent.fence == this->fence) this->OnFenced(sent.fence);
       return;
     case OrderOutcome::kStaleRun:
       this->Settle(key, RunOutcome::kStaleRun,
@@ -334,10 +334,13 @@
   this->parts.metrics.Count("runs.stops");
   this->parts.orders.Stop(
       this->Target(this->parts.settings.answer_time), key.first, key.second,
-      [this, key, guard = this->callback_guard](const OrderReply& reply) {
+      [this, key, sent = this->MakeSentOrder(),
+       guard = this->callback_guard](const OrderReply& reply) {
         if (!*guard || !this->CheckIncarnation(reply.incarnation_start_ms))
           return;
-        this->RecordClock(reply);
+        this->RecordClock(sent, reply);
+        // The earlier incarnation may have accepted the stop.
+        if (sent.incarnation_start_ms != this->incarnation_start_ms) return;
         const auto stopped = this->runs.find(key);
         if (stopped == this->runs.end()) return;
         if (reply.outcome != OrderOutcome::kAccepted) return;
@@ -389,7 +392,7 @@
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
       order, [this, order, generation = this->poll_generation,
-              incarnation = this->incarnation_start_ms,
+              sent = this->MakeSentOrder(),
               guard = this->callback_guard](const PollReply& reply) {
         if (!*guard) return;
         const bool is_current = generation == this->poll_generation;
@@ -399,13 +402,13 @@
         // The endpoint was asked after its incarnation was known, so it has
         // restarted since, with a clock that was set back.
         const std::int64_t answering = reply.order.incarnation_start_ms;
-        if (answering != 0 && answering < incarnation &&
-            incarnation == this->incarnation_start_ms) {
+        if (answering != 0 && answering < sent.incarnation_start_ms &&
+            sent.incarnation_start_ms == this->incarnation_start_ms) {
           this->incarnation_start_ms = answering;
           this->OnRestart();
           return;
         }
-        this->OnPollReply(order, reply);
+        this->OnPollReply(order, sent, reply);
       });
 }
 
@@ -466,14 +469,14 @@
       });
 }
 
-void EndpointSession::OnPollReply(const PollOrder& order,
+void EndpointSession::OnPollReply(const PollOrder& order, const SentOrder& sent,
                                   const PollReply& reply) {
   if (!this->CheckIncarnation(reply.order.incarnation_start_ms)) {
     this->PollAgain();
     return;
   }
   const bool newest = reply.order.clock_ms >= this->list_clock_ms;
-  this->RecordClock(reply.order);
+  this->RecordClock(sent, reply.order);
   switch (reply.order.outcome) {
     case OrderOutcome::kAccepted:
       this->acked_end_seq = std::max(this->acked_end_seq, order.acked_end_seq);
@@ -772,7 +775,18 @@
   this->on_change();
 }
 
-void EndpointSession::RecordClock(const OrderReply& reply) {
+EndpointSession::SentOrder EndpointSession::MakeSentOrder() const {
+  return {this->fence, this->incarnation_start_ms};
+}
+
+// Only a list of runs names the incarnation that answers. Any other answer may
+// come from the one that was known when its order was sent.
+void EndpointSession::RecordClock(const SentOrder& sent,
+                                  const OrderReply& reply) {
+  const std::int64_t answering = reply.incarnation_start_ms != 0
+                                     ? reply.incarnation_start_ms
+                                     : sent.incarnation_start_ms;
+  if (answering != this->incarnation_start_ms) return;
   if (reply.clock_ms == 0 || reply.clock_ms < this->clock_ms) return;
   this->clock_ms = reply.clock_ms;
   this->clock_read = this->parts.clock.Now();
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -101,6 +101,12 @@
     kStopping,
   };
 
+  /// What was known when an order was sent.
+  struct SentOrder {
+    std::uint64_t fence = 0;
+    std::int64_t incarnation_start_ms = 0;
+  };
+
   struct Run {
     RunState state = RunState::kStarting;
     TaskOrder order;
@@ -136,7 +142,8 @@
   void PollAgain();
   void RaiseFence();
   void Probe();
-  void OnPollReply(const PollOrder& order, const PollReply& reply);
+  void OnPollReply(const PollOrder& order, const SentOrder& sent,
+                   const PollReply& reply);
   void OnPollAccepted(const PollOrder& order, const PollReply& reply);
   void OnPollFailed(const OrderReply& reply);
   void OnFenced(std::uint64_t order_fence);
@@ -145,12 +152,13 @@
   void UpdateProgress(const ActiveRun& reported);
   base::Duration PollWait() const;
   void AddForeign(const ActiveRun& reported, std::uint64_t list_fence);
-  void OnStartReply(const RunKey& key, std::uint64_t order_fence,
+  void OnStartReply(const RunKey& key, const SentOrder& sent,
                     const OrderReply& reply);
   void SendStop(const RunKey& key);
   void Recheck();
   bool CheckIncarnation(std::int64_t reported_start_ms);
-  void RecordClock(const OrderReply& reply);
+  void RecordClock(const SentOrder& sent, const OrderReply& reply);
+  SentOrder MakeSentOrder() const;
   std::int64_t LeaseUntil() const;
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -454,6 +454,26 @@
   EXPECT_FALSE(this->Start("a", 100));
 }
 
+// Guards against a start that is carried out after its run counts as lost: a
+// late answer of the earlier incarnation, whose clock was ahead, sets the
+// lease, so the new incarnation does not refuse the start as late.
+TEST_F(EndpointSessionTest, LateAnswerOfEarlierIncarnationDoesNotSetClock) {
+  this->endpoint_ms = 500'000;
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  ++this->incarnation_start_ms;
+  this->endpoint_ms = 10;
+  this->AnswerPoll(1, OrderOutcome::kAccepted);
+  const std::size_t claim = this->orders.polls.size() - 1;
+  this->endpoint_ms = 500'010;
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->endpoint_ms = 20;
+  this->AnswerPoll(claim, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("b"));
+  constexpr std::int64_t kLatestLeaseMs = 1'100;
+  EXPECT_LT(this->orders.starts[1].order.lease_until_ms, kLatestLeaseMs);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
