Runs: recheck a start that was sent during the recheck of another

Cause: a recheck that is due while another one is in progress was dropped, since one raised token settles all starts before it.

Change: when a poll has confirmed the token, a start under the same token whose recheck has been due is rechecked.

Before: StartSentDuringRecheckIsRechecked fails (no poll has a higher token than the start). After: it passes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -370,6 +370,17 @@
   this->Poll(base::Duration{0}, true);
 }
 
+// Returns whether the recheck of a start was due during that of an earlier one,
+// whose token does not exceed that of the start.
+bool EndpointSession::HasMissedRecheck() const {
+  return std::any_of(
+      this->runs.begin(), this->runs.end(), [this](const auto& item) {
+        const Run& run = item.second;
+        return run.state == RunState::kStarting && !run.timer->IsActive() &&
+               run.fence == this->fence;
+      });
+}
+
 void EndpointSession::Poll(base::Duration wait, bool raise_fence) {
   const base::TimePoint now = this->parts.clock.Now();
   if (raise_fence) this->RaiseFence();
@@ -528,6 +539,7 @@
     ++this->poll_generation;
     this->polls_in_flight = 0;
   }
+  if (this->HasMissedRecheck()) this->Recheck();
   this->PollAgain();
 }
 
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -156,6 +156,7 @@
                     const OrderReply& reply);
   void SendStop(const RunKey& key);
   void Recheck();
+  bool HasMissedRecheck() const;
   bool CheckIncarnation(std::int64_t reported_start_ms);
   void RecordClock(const SentOrder& sent, const OrderReply& reply);
   SentOrder MakeSentOrder() const;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -474,6 +474,21 @@
   EXPECT_LT(this->orders.starts[1].order.lease_until_ms, kLatestLeaseMs);
 }
 
+// Guards against a run that is never settled: its start was sent, and its
+// recheck was due, while the recheck of an earlier start was in progress.
+TEST_F(EndpointSessionTest, StartSentDuringRecheckIsRechecked) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kUnanswered);
+  const std::size_t recheck = this->orders.polls.size() - 1;
+  ASSERT_TRUE(this->Start("b"));
+  this->AnswerStart(1, OrderOutcome::kUnanswered);
+  this->clock.Advance(this->settings.recheck_after);
+  this->AnswerPoll(recheck, OrderOutcome::kAccepted, {{"a", 1, 0}});
+  EXPECT_GT(this->orders.polls.back().order.target.fence,
+            this->orders.starts[1].order.target.fence);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
