Runs: do not count acknowledgements that an earlier incarnation was sent

Cause: a poll that was sent before a restart was noticed, and answered by the new incarnation, set the number of acknowledged ends to that of the earlier one. It differs from the number of ends seen, so the session goes on polling.

Change: an accepted poll counts as acknowledgement only for the incarnation that was known when it was sent.

Before: EndsOfEarlierIncarnationAreNotAcknowledged fails (a further poll). After: it passes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -490,7 +490,10 @@
   this->RecordClock(sent, reply.order);
   switch (reply.order.outcome) {
     case OrderOutcome::kAccepted:
-      this->acked_end_seq = std::max(this->acked_end_seq, order.acked_end_seq);
+      if (sent.incarnation_start_ms == this->incarnation_start_ms) {
+        this->acked_end_seq =
+            std::max(this->acked_end_seq, order.acked_end_seq);
+      }
       this->ProcessEnds(reply);
       if (newest) {
         this->list_clock_ms = reply.order.clock_ms;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -489,6 +489,27 @@
             this->orders.starts[1].order.target.fence);
 }
 
+// Guards against an idle endpoint that is polled for good: a poll that was sent
+// to the earlier incarnation acknowledged ends of it.
+TEST_F(EndpointSessionTest, EndsOfEarlierIncarnationAreNotAcknowledged) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {},
+                   {{5, "a", 1, runs::RunEndKind::kDone}});
+  ASSERT_TRUE(this->Start("b"));
+  this->AnswerStart(1, OrderOutcome::kUnanswered);
+  const std::size_t recheck = this->orders.polls.size() - 1;
+  ASSERT_EQ(recheck, 3U);
+  ++this->incarnation_start_ms;
+  this->AnswerPoll(recheck, OrderOutcome::kAccepted);
+  this->AnswerPoll(2, OrderOutcome::kAccepted);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  const std::size_t polls = this->orders.polls.size();
+  this->AnswerPoll(polls - 1, OrderOutcome::kAccepted);
+  EXPECT_EQ(this->orders.polls.size(), polls);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
