Runs: allow for a slow clock since the endpoint's clock was read

Callers saw nothing of this yet; found by reading the code with the users' page on running tasks.

Cause: the lease that an order asks for is a time on the endpoint's clock, taken from the last reading plus the time since. The clock may run 2% slow, so after a pause of the process of 3 s the time is 60 ms too late, and the margin of the session is 30 ms. An order that is carried out late is shortened from its delivery only, so its lease may outlast the time at which the session counts its runs as lost.

Change: the time since the reading counts for 98%. Polls renew the reading at least every 400 ms, so leases in normal operation are at most 8 ms shorter.

Before: LeaseAllowsForSlowClockSinceItsReading fails (5001 instead of at most 4941). After: it passes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -18,6 +18,8 @@
 // Clocks of endpoints may run 2% slow, so a lease lasts up to 1.02 times as
 // long by the local clock. The margin covers rounding and network delay.
 constexpr int kSlowClockPercent = 102;
+constexpr int kSlowestRatePercent = 98;
+constexpr int kWholePercent = 100;
 constexpr base::Duration kLeaseMargin = milliseconds(30);
 // Time after the last list of runs in which no restart of the endpoint is
 // expected; a restart takes longer.
@@ -205,10 +207,10 @@
   start.run = run.order.run;
   start.payload = run.order.payload;
   start.lease_until_ms = this->LeaseUntil();
-  this->lease_expiry =
-      std::max(this->lease_expiry,
-               now + this->parts.settings.lease * kSlowClockPercent / 100 +
-                   kLeaseMargin);
+  this->lease_expiry = std::max(
+      this->lease_expiry,
+      now + this->parts.settings.lease * kSlowClockPercent / kWholePercent +
+          kLeaseMargin);
   this->parts.metrics.Count("runs.starts");
   this->parts.orders.Start(
       start, [this, key, sent = this->MakeSentOrder(),
@@ -394,10 +396,10 @@
       });
   if (renew && this->clock_ms != 0 && this->failures < kMaxPollFailures) {
     order.lease_until_ms = this->LeaseUntil();
-    this->lease_expiry =
-        std::max(this->lease_expiry,
-                 now + this->parts.settings.lease * kSlowClockPercent / 100 +
-                     kLeaseMargin);
+    this->lease_expiry = std::max(
+        this->lease_expiry,
+        now + this->parts.settings.lease * kSlowClockPercent / kWholePercent +
+            kLeaseMargin);
   }
   ++this->polls_in_flight;
   this->parts.metrics.Count("runs.polls");
@@ -808,7 +810,10 @@
 }
 
 std::int64_t EndpointSession::LeaseUntil() const {
-  const base::Duration age = this->parts.clock.Now() - this->clock_read;
+  // The endpoint's clock has reached this at least. A later time would let an
+  // order that is carried out late extend the lease beyond `lease_expiry`.
+  const base::Duration age = (this->parts.clock.Now() - this->clock_read) *
+                             kSlowestRatePercent / kWholePercent;
   return this->clock_ms + (age + this->parts.settings.lease) / milliseconds(1);
 }
 
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -510,6 +510,21 @@
   EXPECT_EQ(this->orders.polls.size(), polls);
 }
 
+// Guards against a run that counts as lost while it is at work: the reading of
+// the endpoint's clock was old, and the clock is slow, so the order asked for a
+// longer lease than the session assumes.
+TEST_F(EndpointSessionTest, LeaseAllowsForSlowClockSinceItsReading) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a", 100));
+  this->clock.Advance(seconds(3));
+  ASSERT_TRUE(this->Start("b", 100));
+  constexpr std::int64_t kReadMs = 1'001;
+  constexpr std::int64_t kSlowAgeMs = 2'940;
+  constexpr std::int64_t kLeaseMs = 1'000;
+  EXPECT_LE(this->orders.starts[1].order.lease_until_ms,
+            kReadMs + kSlowAgeMs + kLeaseMs);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
