Runs: take an answer for the order that it belongs to only

Callers saw nothing of this yet; found by reading the code.

Cause: a start whose recheck did not show it is settled while its answer may come for up to another second. When a copy of the job places the same run again here (the copy begins with run 1), the late refusal of the first order ended the run of the second one, which is at work, and its task was started elsewhere. In the same way, the answer to a stop of the first run made the session stop the second.

Change: start orders are numbered, and an answer counts for the run that its order has started; the answer to a stop counts only for a run that is to stop.

Before: RefusedStartTest.AnswerToEarlierOrderDoesNotEndRun fails for each of the six refusals (2 instead of 1 end). After: it passes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -197,6 +197,7 @@
   Run& run = this->runs.at(key);
   run.state = RunState::kStarting;
   run.fence = this->fence;
+  run.start_number = ++this->last_start_number;
   run.started = now;
   run.progress = RunProgress(now);
   run.timer->StartOnce(this->parts.settings.recheck_after,
@@ -256,6 +257,8 @@
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
   Run& run = found->second;
+  // The run was settled, and a copy of its job has placed it again.
+  if (run.start_number != sent.start_number) return;
   if (reply.outcome != OrderOutcome::kAccepted) {
     kLog.Info(
         "Start order was not accepted. endpoint={} task={} run={} fence={} "
@@ -345,6 +348,7 @@
         if (sent.incarnation_start_ms != this->incarnation_start_ms) return;
         const auto stopped = this->runs.find(key);
         if (stopped == this->runs.end()) return;
+        if (stopped->second.state != RunState::kStopping) return;
         if (reply.outcome != OrderOutcome::kAccepted) return;
         if (stopped->second.stop_clock_ms == 0) {
           stopped->second.stop_clock_ms = reply.clock_ms;
@@ -793,7 +797,7 @@
 }
 
 EndpointSession::SentOrder EndpointSession::MakeSentOrder() const {
-  return {this->fence, this->incarnation_start_ms};
+  return {this->fence, this->incarnation_start_ms, this->last_start_number};
 }
 
 // Only a list of runs names the incarnation that answers. Any other answer may
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -105,6 +105,8 @@
   struct SentOrder {
     std::uint64_t fence = 0;
     std::int64_t incarnation_start_ms = 0;
+    /// Number of the latest start order, this one included.
+    std::uint64_t start_number = 0;
   };
 
   struct Run {
@@ -115,6 +117,8 @@
     bool foreign = false;
     /// Fencing token of its start order.
     std::uint64_t fence = 0;
+    /// Number of its start order in this session.
+    std::uint64_t start_number = 0;
     /// Time at which the start order was sent, or the run was held.
     base::TimePoint started;
     /// Time after which its result is of no use to the caller.
@@ -180,6 +184,7 @@
   bool entry_outdated = false;
   std::uint64_t fence = 0;
   std::map<RunKey, Run> runs;
+  std::uint64_t last_start_number = 0;
   SettledRuns settled;
   /// Highest sequence number of an end that was processed.
   std::uint64_t seen_end_seq = 0;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -525,6 +525,21 @@
             kReadMs + kSlowAgeMs + kLeaseMs);
 }
 
+// Guards against a task that is started again while it runs: the late refusal
+// of a start that a list has settled is taken for the answer to a later start
+// of the same run, which a copy of the job at another process has placed.
+TEST_P(RefusedStartTest, AnswerToEarlierOrderDoesNotEndRun) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->clock.Advance(this->settings.recheck_after);
+  this->AnswerPoll(2, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->ends.size(), 1U);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, GetParam().outcome);
+  EXPECT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->session->RunCount(), 1U);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
