Runs: a late list of runs does not show that the endpoint is unchanged

Cause: starts are sent without a further poll for 50 ms after a list of runs, since a restart takes longer. The 50 ms counted from the arrival of the list. Lists of two claims that arrived 140 ms late let both processes start tasks at the new incarnation, which had forgotten both tokens.

Change: the time counts from the earliest time at which the list can have been made: when it was asked for, plus the wait if the poll waited in full.

Before: LateListDoesNotVerifyEndpoint fails. After: it passes; ListAfterWaitVerifiesEndpoint shows that a start after a poll that waited in full needs no further poll, as before.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -505,7 +505,7 @@
         this->list_clock_ms = reply.order.clock_ms;
         this->ProcessRunning(order, reply);
       }
-      this->OnPollAccepted(order, reply);
+      this->OnPollAccepted(order, sent, reply);
       return;
     case OrderOutcome::kFenced:
       if (order.target.fence == this->fence) {
@@ -527,12 +527,17 @@
   }
 }
 
-void EndpointSession::OnPollAccepted(const PollOrder& order, const PollReply&) {
+void EndpointSession::OnPollAccepted(const PollOrder& order,
+                                     const SentOrder& sent,
+                                     const PollReply& reply) {
   if (this->state == SessionState::kFencedOff) return;
   this->failures = 0;
   this->fence_raises = 0;
   this->lease_expiry_timer.Stop();
-  this->last_list = this->parts.clock.Now();
+  // The endpoint waits in full unless it has ends to report.
+  const base::TimePoint listed =
+      reply.ended.empty() ? sent.time + order.wait : sent.time;
+  this->last_list = std::max(this->last_list, listed);
   if (order.target.fence == this->fence) {
     this->recheck_due = false;
     if (this->state != SessionState::kReady) {
@@ -797,7 +802,8 @@
 }
 
 EndpointSession::SentOrder EndpointSession::MakeSentOrder() const {
-  return {this->fence, this->incarnation_start_ms, this->last_start_number};
+  return {this->fence, this->incarnation_start_ms, this->last_start_number,
+          this->parts.clock.Now()};
 }
 
 // Only a list of runs names the incarnation that answers. Any other answer may
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -107,6 +107,7 @@
     std::int64_t incarnation_start_ms = 0;
     /// Number of the latest start order, this one included.
     std::uint64_t start_number = 0;
+    base::TimePoint time;
   };
 
   struct Run {
@@ -148,7 +149,8 @@
   void Probe();
   void OnPollReply(const PollOrder& order, const SentOrder& sent,
                    const PollReply& reply);
-  void OnPollAccepted(const PollOrder& order, const PollReply& reply);
+  void OnPollAccepted(const PollOrder& order, const SentOrder& sent,
+                      const PollReply& reply);
   void OnPollFailed(const OrderReply& reply);
   void OnFenced(std::uint64_t order_fence);
   void ProcessEnds(const PollReply& reply);
@@ -198,7 +200,7 @@
   base::TimePoint clock_read;
   /// Endpoint's clock in milliseconds at its newest list of runs.
   std::int64_t list_clock_ms = 0;
-  /// Time of the last list of runs.
+  /// Earliest time at which the endpoint can have made the last list of runs.
   base::TimePoint last_list;
   /// Latest time by the local clock at which the leases expire without a
   /// further renewal.
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -540,6 +540,34 @@
   EXPECT_EQ(this->session->RunCount(), 1U);
 }
 
+// Guards against starts beyond the capacity: the list of a claim arrives late,
+// and the endpoint has restarted since it was made.
+TEST_F(EndpointSessionTest, LateListDoesNotVerifyEndpoint) {
+  this->clock.Advance(milliseconds(140));
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  EXPECT_TRUE(this->orders.starts.empty());
+  ASSERT_EQ(this->orders.polls.size(), 2U);
+  this->AnswerPoll(1, OrderOutcome::kAccepted);
+  EXPECT_EQ(this->orders.starts.size(), 1U);
+}
+
+// A poll that waited in full and found no end lists the runs at the end of its
+// wait.
+TEST_F(EndpointSessionTest, ListAfterWaitVerifiesEndpoint) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {},
+                   {{1, "a", 1, runs::RunEndKind::kDone}});
+  this->clock.Advance(this->settings.poll_wait + milliseconds(1));
+  this->AnswerPoll(2, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->orders.polls.size(), 3U);
+  this->clock.Advance(milliseconds(20));
+  ASSERT_TRUE(this->Start("b"));
+  EXPECT_EQ(this->orders.starts.size(), 2U);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
