Runs: notice a restart by the clock in the answer to a start

Callers saw nothing of this yet.

Cause: a restart that ends no connection was noticed with the next list of runs, which takes until the waiting poll times out (400 ms). Meanwhile starts are carried out under a token that the new incarnation has not confirmed. Their answers carry its clock, which is earlier than any reading before.

Change: an answer to a start whose clock is earlier than the reading that was known when it was sent makes the session recheck at once. No further messages otherwise.

Before: AnswerWithEarlierClockShowsRestart fails (no poll). After: it passes.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -254,6 +254,7 @@
                                    const OrderReply& reply) {
   if (!this->CheckIncarnation(reply.incarnation_start_ms)) return;
   this->RecordClock(sent, reply);
+  if (this->ShowsRestart(sent, reply)) this->Recheck();
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
   Run& run = found->second;
@@ -758,6 +759,14 @@
   return false;
 }
 
+// The clock of an incarnation does not go back, so it answers an order with a
+// time no earlier than any that was read before the order was sent.
+bool EndpointSession::ShowsRestart(const SentOrder& sent,
+                                   const OrderReply& reply) const {
+  return reply.clock_ms != 0 && reply.clock_ms < sent.clock_ms &&
+         sent.incarnation_start_ms == this->incarnation_start_ms;
+}
+
 void EndpointSession::OnRestart() {
   this->entry_outdated =
       this->entry.incarnation_start_ms != 0 &&
@@ -803,7 +812,7 @@
 
 EndpointSession::SentOrder EndpointSession::MakeSentOrder() const {
   return {this->fence, this->incarnation_start_ms, this->last_start_number,
-          this->parts.clock.Now()};
+          this->parts.clock.Now(), this->clock_ms};
 }
 
 // Only a list of runs names the incarnation that answers. Any other answer may
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -108,6 +108,8 @@
     /// Number of the latest start order, this one included.
     std::uint64_t start_number = 0;
     base::TimePoint time;
+    /// Latest reading of the endpoint's clock.
+    std::int64_t clock_ms = 0;
   };
 
   struct Run {
@@ -164,6 +166,7 @@
   void Recheck();
   bool HasMissedRecheck() const;
   bool CheckIncarnation(std::int64_t reported_start_ms);
+  bool ShowsRestart(const SentOrder& sent, const OrderReply& reply) const;
   void RecordClock(const SentOrder& sent, const OrderReply& reply);
   SentOrder MakeSentOrder() const;
   std::int64_t LeaseUntil() const;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -568,6 +568,22 @@
   EXPECT_EQ(this->orders.starts.size(), 2U);
 }
 
+// Guards against starts under an outdated token at a restarted endpoint: its
+// waiting poll is lost silently, but the answer to a start has an earlier clock
+// than the last reading.
+TEST_F(EndpointSessionTest, AnswerWithEarlierClockShowsRestart) {
+  this->endpoint_ms = 500'000;
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  const std::size_t polls = this->orders.polls.size();
+  this->endpoint_ms = 100;
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  ASSERT_EQ(this->orders.polls.size(), polls + 1);
+  EXPECT_EQ(this->orders.polls.back().order.wait, base::Duration{0});
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  EXPECT_EQ(this->orders.polls.size(), polls + 1);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
