A list of runs that cannot be read is no list

Found by examination, not seen by callers: an answer to a poll with status 200 whose body could not be parsed counted as a list without runs. A session with a raised fencing token then settles all unanswered starts as not run, and the tasks start again beside their first runs (TWICE).

Cause: `OrderClient` took the outcome from the status alone. Without a length, an answer that ends with its connection is complete for libcurl, wherever it is cut. Besides, a row of a run whose progress is unreadable was skipped, so the run counted as not there.

--- a/tests/platform/order_contract_test.cc
+++ b/tests/platform/order_contract_test.cc
@@ -109,6 +109,71 @@
                     OrderOutcome::kUnanswered}),
     [](const auto& row) { return row.param.name; });
 
+runs::PollReply PollFor(const RawServer& server) {
+  base::GlibClock clock;
+  platform::OrderClient client(clock);
+  runs::PollOrder order;
+  order.target = {server.Address(), "i-1", 7, milliseconds(200)};
+  std::optional<runs::PollReply> reply;
+  client.Poll(order, [&](const runs::PollReply& answer) { reply = answer; });
+  EXPECT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  return *reply;
+}
+
+struct PollAnswer {
+  const char* name;
+  RawResponse response;
+};
+
+class UnreadablePollAnswerTest : public ::testing::TestWithParam<PollAnswer> {};
+
+// Guards against runs that count as not there because their list could not be
+// read: a task is then started again beside its first run.
+TEST_P(UnreadablePollAnswerTest, IsNoListOfRuns) {
+  const RawServer server(
+      [](const std::string&, int) { return GetParam().response; });
+  EXPECT_EQ(PollFor(server).order.outcome, OrderOutcome::kUnanswered);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, UnreadablePollAnswerTest,
+    ::testing::Values(
+        PollAnswer{"Empty", Response("200 OK", "")},
+        PollAnswer{"NotJson", Response("200 OK", "<html>")},
+        PollAnswer{"NotObject", Response("200 OK", "[]")},
+        PollAnswer{"WithoutClock", Response("200 OK", "{}")},
+        PollAnswer{"RunsOfAnotherType",
+                   Response("200 OK", R"({"clockMs":9,"born":5,"running":"",)"
+                                      R"("endedRuns":[]})")},
+        PollAnswer{"EndsOfAnotherType",
+                   Response("200 OK", R"({"clockMs":9,"born":5,"running":[],)"
+                                      R"("endedRuns":null})")},
+        PollAnswer{"CutShortWithoutLength",
+                   RawResponse{"HTTP/1.1 200 OK\r\n\r\n"
+                               R"({"clockMs":9,"born":5,"running":[["a",1,)",
+                               true}},
+        PollAnswer{"CutShortWithLength",
+                   RawResponse{"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n"
+                               R"({"clockMs":9,"born":5,"running":[]})",
+                               true}}),
+    [](const auto& row) { return row.param.name; });
+
+// Guards against a run that counts as not there because its progress could not
+// be read.
+TEST(OrderContractTest, RunWithUnreadableProgressIsListed) {
+  const RawServer server([](const std::string&, int) {
+    return Response("200 OK",
+                    R"({"clockMs":9,"born":5,"running":[["a",1,"","?"],)"
+                    R"(["b",2]],"endedRuns":[]})");
+  });
+  const runs::PollReply reply = PollFor(server);
+  EXPECT_EQ(reply.order.outcome, OrderOutcome::kAccepted);
+  ASSERT_EQ(reply.running.size(), 2U);
+  EXPECT_EQ(reply.running[0].task, "a");
+  EXPECT_EQ(reply.running[0].percent, 0);
+  EXPECT_EQ(reply.running[1].run, 2U);
+}
+
 TEST(OrderContractTest, PollReturnsRunningAndEndedRuns) {
   std::string request;
   const RawServer server([&request](const std::string& text, int) {
