A call is not sent after its time limit

Found by examination, not seen by callers: a process that wakes from a pause serves its input before its timers. A start whose connection had opened during the pause, in the kernel, was written then, seconds after its time limit, to whichever incarnation of the endpoint listened. A restarted endpoint has forgotten the fencing token and carries the start out (TWICE), although another process may have placed the task by then.

Change: the HTTP client checks the time limit of a call before it writes the request, also of calls that may be repeated.

--- a/src/libs/http/async_http_client.cc
+++ b/src/libs/http/async_http_client.cc
@@ -72,6 +72,9 @@
     bool headers_ended = false;
     /// Whether the request may already have been written to a connection.
     bool sent = false;
+    bool repeatable = false;
+    const base::Clock* clock = nullptr;
+    base::TimePoint deadline;
     Handler done;
     base::TimerId timer = 0;
   };
@@ -105,11 +108,17 @@
 
   // Called before libcurl writes a request. libcurl writes a request again when
   // a kept connection ends before the answer begins, although the server may
-  // have carried the request out. A second write is therefore refused.
+  // have carried the request out. A second write is therefore refused. So is
+  // one after the time limit: after a pause of the process, a connection may
+  // become usable before the timers run.
   static int OnRequest(void* target, char*, char*, int, int) {
     auto* exchange = static_cast<Exchange*>(target);
-    return std::exchange(exchange->sent, true) ? CURL_PREREQFUNC_ABORT
-                                               : CURL_PREREQFUNC_OK;
+    if (exchange->clock->Now() >= exchange->deadline) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    const bool again = std::exchange(exchange->sent, true);
+    return again && !exchange->repeatable ? CURL_PREREQFUNC_ABORT
+                                          : CURL_PREREQFUNC_OK;
   }
 
   Private(base::Clock& clock, unsigned connections)
@@ -249,7 +258,9 @@
     this->RecycleHandle(std::move(exchange->handle));
     if (code == CURLE_ABORTED_BY_CALLBACK) {
       exchange->done(Error(ErrorKind::kOutcomeUnknown,
-                           "the connection ended before the answer"));
+                           exchange->sent
+                               ? "the connection ended before the answer"
+                               : "the time limit passed before the request"));
       return;
     }
     if (code != CURLE_OK) {
@@ -314,10 +325,11 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, exchange.get());
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, Private::OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, exchange.get());
-  if (!call.repeatable) {
-    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, Private::OnRequest);
-    curl_easy_setopt(handle, CURLOPT_PREREQDATA, exchange.get());
-  }
+  exchange->repeatable = call.repeatable;
+  exchange->clock = &this->d->clock;
+  exchange->deadline = this->d->clock.Now() + call.timeout;
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, Private::OnRequest);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, exchange.get());
   curl_slist* headers = nullptr;
   if (call.method == "POST") {
     curl_easy_setopt(handle, CURLOPT_POST, 1L);
--- a/src/libs/http/async_http_client.h
+++ b/src/libs/http/async_http_client.h
@@ -23,6 +23,7 @@
   std::string body;
   std::vector<std::pair<std::string, std::string>> headers;
   /// Time limit; when it expires, the connection is closed and the call fails.
+  /// A call is not sent after it, also when the process was paused meanwhile.
   base::Duration timeout{0};
   /// Whether the server may carry out the call more than once. The client then
   /// sends it again by itself when a kept connection ends before the answer
