Runs: a late answer does not end the watch of a silent endpoint

The endpoint stays without use, and its jobs wait until their deadline.

Cause: when two polls have failed, the endpoint counts as unreachable, the end of the lease is awaited, and polls are repeated. The answer to an earlier poll that arrived then reset the count of failures and stopped the wait for the lease, but the session stayed unreachable, since only the current token makes it ready. The next failed poll asked for a recheck, which is not done in that state: no timer was left.

Change: in that state, an answer under an earlier token only causes the next poll.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -532,6 +532,12 @@
                                      const SentOrder& sent,
                                      const PollReply& reply) {
   if (this->state == SessionState::kFencedOff) return;
+  const bool confirms = order.target.fence == this->fence;
+  // The endpoint answered an earlier poll, before the ones that have failed.
+  if (this->state == SessionState::kUnreachable && !confirms) {
+    this->PollAgain();
+    return;
+  }
   this->failures = 0;
   this->fence_raises = 0;
   this->lease_expiry_timer.Stop();
@@ -539,7 +545,7 @@
   const base::TimePoint listed =
       reply.ended.empty() ? sent.time + order.wait : sent.time;
   this->last_list = std::max(this->last_list, listed);
-  if (order.target.fence == this->fence) {
+  if (confirms) {
     this->recheck_due = false;
     if (this->state != SessionState::kReady) {
       this->SetState(SessionState::kReady, "poll was answered");
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -584,6 +584,26 @@
   EXPECT_EQ(this->orders.polls.size(), polls + 1);
 }
 
+// Guards against an endpoint that is never asked again and runs that are never
+// settled: while the endpoint does not answer, the answer to an earlier poll
+// arrives late.
+TEST_F(EndpointSessionTest, UnreachableEndpointIsAskedAfterLateAnswer) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("b"));
+  this->AnswerStart(1, OrderOutcome::kUnanswered);
+  this->AnswerPoll(2, OrderOutcome::kUnanswered);
+  this->AnswerPoll(3, OrderOutcome::kUnanswered);
+  ASSERT_EQ(this->session->State(), SessionState::kUnreachable);
+  this->AnswerPoll(1, OrderOutcome::kAccepted, {{"a", 1, 0}});
+  const std::size_t polls = this->orders.polls.size();
+  this->AnswerPoll(polls - 1, OrderOutcome::kUnanswered);
+  this->clock.Advance(seconds(5));
+  EXPECT_GT(this->orders.polls.size(), polls);
+  EXPECT_EQ(this->ends.size(), 2U);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
