Random fleet test: connections that end, restarts, callers that send again

Change: a second scenario with orders whose connection ends within 2 ms (carried out or not, also all calls to an endpoint at once), answers that overtake each other, endpoints that restart under their id or are replaced at their address, clocks up to 2% slow, refusals, the store down for 2 to 8 s while records expire, and callers that leave or lose their process and send the job again elsewhere after 1.3 s. As on the platform, only lists of runs and records name an incarnation, and a poll that waits through a restart gets no answer.

--- a/tests/support/hosted_fleet.cc
+++ b/tests/support/hosted_fleet.cc
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t kTaskCpuMilli = 6'800;
 constexpr std::int64_t kTaskMemoryMb = 64;
+// Interval at which an endpoint writes its record.
+constexpr base::Duration kEntryRetry{500'000};
 
 }  // namespace
 
@@ -21,21 +23,68 @@
 HostedFleet::~HostedFleet() = default;
 
 void HostedFleet::AddEndpoint(const std::string& id, const std::string& domain,
-                              std::int64_t cpu_milli, double pace) {
+                              std::int64_t cpu_milli, double pace,
+                              double clock_rate) {
   catalog::EndpointEntry entry;
   entry.id = id;
   entry.service = "s";
   entry.address = id;
   entry.domain = domain;
   entry.capacity = {cpu_milli, 32'768, 0};
-  this->endpoints.Add(entry, pace);
-  this->entries[id] = fmt::format("{} {}", domain, cpu_milli);
-  this->store.Write(catalog::Topic::kEndpoints, id, this->entries[id]);
+  this->endpoints.Add(entry, pace, clock_rate);
+  this->entries[id] = {domain, cpu_milli, id, false};
+  this->WriteEntry(id);
+}
+
+void HostedFleet::WriteEntry(const std::string& id) {
+  const EndpointRecord& record = this->entries.at(id);
+  std::string value = fmt::format("{} {} address={}", record.domain,
+                                  record.cpu_milli, record.address);
+  if (this->entries_name_start) {
+    value += fmt::format(" start={}", this->endpoints.IncarnationOf(id));
+  }
+  if (record.draining) value += " draining";
+  this->store.Write(catalog::Topic::kEndpoints, id, value);
+}
+
+void HostedFleet::PublishEntry(const std::string& id) {
+  if (this->endpoints.IsDown(id)) return;
+  if (!this->store.IsDown("")) {
+    this->WriteEntry(id);
+    return;
+  }
+  this->clock.StartTimer(kEntryRetry, [this, id] { this->PublishEntry(id); });
+}
+
+void HostedFleet::RestartEndpoint(const std::string& id,
+                                  LeasedEndpoints::CrashKind kind,
+                                  base::Duration downtime) {
+  if (this->endpoints.IsDown(id)) return;
+  this->endpoints.Crash(id, kind);
+  this->clock.StartTimer(downtime, [this, id] {
+    this->endpoints.Recover(id);
+    this->PublishEntry(id);
+  });
+}
+
+void HostedFleet::ReplaceEndpoint(const std::string& id,
+                                  const std::string& new_id,
+                                  LeasedEndpoints::CrashKind kind,
+                                  base::Duration downtime,
+                                  base::Duration expiry) {
+  if (this->endpoints.IsDown(id)) return;
+  this->endpoints.Crash(id, kind);
+  this->clock.StartTimer(downtime, [this, id, new_id, expiry] {
+    this->endpoints.Replace(id, new_id);
+    this->entries[new_id] = this->entries.at(id);
+    this->PublishEntry(new_id);
+    this->clock.StartTimer(expiry, [this, id] { this->DeleteEntry(id); });
+  });
 }
 
 void HostedFleet::SetDraining(const std::string& id, bool draining) {
-  this->store.Write(catalog::Topic::kEndpoints, id,
-                    this->entries[id] + (draining ? " draining" : ""));
+  this->entries.at(id).draining = draining;
+  this->WriteEntry(id);
 }
 
 void HostedFleet::DeleteEntry(const std::string& id) {
@@ -78,9 +127,10 @@
   return this->SubmitWithEstimate(process, path, tasks, time, time, kind);
 }
 
-std::shared_ptr<std::optional<jobs::JobAnswer>> HostedFleet::SubmitWithEstimate(
-    const std::string& process, const std::string& path, int tasks,
-    base::Duration time, base::Duration estimate, runs::RunEndKind kind) {
+jobs::JobRequest HostedFleet::NewRequest(const std::string& path, int tasks,
+                                         base::Duration time,
+                                         base::Duration estimate,
+                                         runs::RunEndKind kind) {
   jobs::JobRequest request;
   request.id = fmt::format("{:016x}", this->next_job++);
   request.host = "h";
@@ -91,6 +141,14 @@
   request.estimate = estimate;
   this->endpoints.SetTask(request.payload, time, kind);
   this->endpoints.SetCpu(request.payload, kTaskCpuMilli);
+  return request;
+}
+
+std::shared_ptr<std::optional<jobs::JobAnswer>> HostedFleet::SubmitWithEstimate(
+    const std::string& process, const std::string& path, int tasks,
+    base::Duration time, base::Duration estimate, runs::RunEndKind kind) {
+  const jobs::JobRequest request =
+      this->NewRequest(path, tasks, time, estimate, kind);
   auto answer = std::make_shared<std::optional<jobs::JobAnswer>>();
   this->Process(process).relay.Submit(
       request, [answer](const jobs::JobAnswer& given) { *answer = given; });
--- a/tests/support/hosted_fleet.h
+++ b/tests/support/hosted_fleet.h
@@ -18,9 +18,25 @@
   ~HostedFleet();
 
   /// Adds an endpoint with a capacity of `cpu_milli` thousandths of a core and
-  /// writes its record to the store. `pace` is a factor on all run times.
+  /// writes its record to the store. `pace` is a factor on all run times,
+  /// `clock_rate` the speed of the endpoint's clock.
   void AddEndpoint(const std::string& id, const std::string& domain,
-                   std::int64_t cpu_milli = 16'000, double pace = 1);
+                   std::int64_t cpu_milli = 16'000, double pace = 1,
+                   double clock_rate = 1);
+
+  /// Crashes an endpoint and starts it again after `downtime`, with a new
+  /// record once the store is up.
+  void RestartEndpoint(const std::string& id, LeasedEndpoints::CrashKind kind,
+                       base::Duration downtime);
+
+  /// Crashes an endpoint and starts the endpoint `new_id` at its address after
+  /// `downtime`. The record of the old one expires `expiry` later.
+  void ReplaceEndpoint(const std::string& id, const std::string& new_id,
+                       LeasedEndpoints::CrashKind kind, base::Duration downtime,
+                       base::Duration expiry);
+
+  /// Writes the endpoint's record once the store is up.
+  void PublishEntry(const std::string& id);
 
   /// Rewrites the endpoint's record in the store with or without the draining
   /// mark.
@@ -59,6 +75,12 @@
       base::Duration time, base::Duration estimate,
       runs::RunEndKind kind = runs::RunEndKind::kDone);
 
+  /// Returns a new job like those of Submit(), which may be submitted several
+  /// times.
+  jobs::JobRequest NewRequest(const std::string& path, int tasks,
+                              base::Duration time, base::Duration estimate,
+                              runs::RunEndKind kind);
+
   /// Like Submit(), but returns the job's id.
   std::string SubmitAndGetId(const std::string& process,
                              const std::string& path, int tasks,
@@ -73,9 +95,21 @@
   KeyedStore store;
   LeasedEndpoints endpoints;
   std::vector<std::unique_ptr<HostedProcess>> processes;
+  /// Whether the records of endpoints name the start of their incarnation, as
+  /// on the platform. Such a record has to be published again after a restart.
+  bool entries_name_start = false;
 
  private:
-  std::map<std::string, std::string> entries;
+  struct EndpointRecord {
+    std::string domain;
+    std::int64_t cpu_milli = 0;
+    std::string address;
+    bool draining = false;
+  };
+
+  void WriteEntry(const std::string& id);
+
+  std::map<std::string, EndpointRecord> entries;
   std::uint64_t next_job = 1;
   std::uint64_t next_incarnation = 1;
 };
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -17,6 +17,14 @@
 using std::chrono::milliseconds;
 
 constexpr base::Duration kOneWayDelay{500};
+// Range of the time after which a sender notices the end of a connection.
+constexpr base::Duration kMinEndTime{200};
+constexpr base::Duration kMaxEndTime{2'000};
+// Range of the delay of an order whose connection ends.
+constexpr base::Duration kMinRestDelay{100};
+constexpr base::Duration kMaxRestDelay{5'000};
+constexpr double kOrderSurvives = 0.5;
+constexpr std::size_t kMaxListedCalls = 64;
 constexpr base::Duration kStopTime = milliseconds(40);
 constexpr std::int64_t kMaxLeaseMs = 1'000;
 constexpr int kWholePercent = 100;
@@ -26,15 +34,84 @@
 LeasedEndpoints::LeasedEndpoints(base::Clock& clock, Random& random)
     : clock(clock), random(random) {}
 
-void LeasedEndpoints::Add(const catalog::EndpointEntry& entry, double pace) {
+void LeasedEndpoints::Add(const catalog::EndpointEntry& entry, double pace,
+                          double clock_rate) {
   Endpoint& endpoint = this->endpoints[entry.id];
   endpoint.entry = entry;
   endpoint.pace = pace;
+  endpoint.clock_rate = clock_rate;
   endpoint.start_time = this->clock.Now();
 }
 
 void LeasedEndpoints::Restart(const std::string& id) {
-  Endpoint& endpoint = this->endpoints[id];
+  this->Reset(this->endpoints.at(id));
+}
+
+void LeasedEndpoints::Crash(const std::string& id, CrashKind kind) {
+  Endpoint& endpoint = this->endpoints.at(id);
+  this->Reset(endpoint);
+  endpoint.down = true;
+  endpoint.crash_kind = kind;
+  for (const auto& item : endpoint.calls) {
+    const CallPointer call = item.lock();
+    if (!call) continue;
+    call->ended = true;
+    call->lost = true;
+    if (kind == CrashKind::kRefuses) this->EndConnection(call);
+  }
+  endpoint.calls.clear();
+}
+
+void LeasedEndpoints::Recover(const std::string& id) {
+  Endpoint& endpoint = this->endpoints.at(id);
+  endpoint.down = false;
+  endpoint.start_time = this->clock.Now();
+}
+
+void LeasedEndpoints::Replace(const std::string& id,
+                              const std::string& new_id) {
+  const Endpoint& old = this->endpoints.at(id);
+  catalog::EndpointEntry entry = old.entry;
+  entry.id = new_id;
+  this->replacements[entry.address] = new_id;
+  this->Add(entry, old.pace, old.clock_rate);
+}
+
+bool LeasedEndpoints::IsDown(const std::string& id) const {
+  const auto found = this->endpoints.find(id);
+  return found == this->endpoints.end() || found->second.down;
+}
+
+void LeasedEndpoints::EndConnections(const std::string& id) {
+  if (this->IsDown(id)) return;
+  Endpoint& endpoint = this->endpoints.at(id);
+  for (const auto& item : std::exchange(endpoint.calls, {})) {
+    const CallPointer call = item.lock();
+    if (!call) continue;
+    call->lost = !this->random.Chance(kOrderSurvives);
+    this->EndConnection(call);
+  }
+}
+
+void LeasedEndpoints::EndConnection(const CallPointer& call) {
+  call->ended = true;
+  this->clock.StartTimer(this->random.Between(kMinEndTime, kMaxEndTime),
+                         [call] { call->fail(); });
+}
+
+std::string LeasedEndpoints::IdAt(const runs::OrderTarget& target) const {
+  const auto replacement = this->replacements.find(target.address);
+  return replacement == this->replacements.end() ? target.endpoint_id
+                                                 : replacement->second;
+}
+
+base::Duration LeasedEndpoints::TransitTime() {
+  if (this->faults.max_transit <= kOneWayDelay) return kOneWayDelay;
+  return this->random.Between(kOneWayDelay, this->faults.max_transit);
+}
+
+void LeasedEndpoints::Reset(Endpoint& endpoint) {
+  this->clock.CancelTimer(endpoint.lease_timer);
   for (auto& [key, run] : endpoint.runs) this->clock.CancelTimer(run.timer);
   endpoint.runs.clear();
   endpoint.highest_ended.clear();
@@ -48,7 +125,8 @@
 }
 
 void LeasedEndpoints::SetSilent(const std::string& id, bool silent) {
-  this->endpoints[id].silent = silent;
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.silent = silent;
 }
 
 void LeasedEndpoints::Partition(const std::string& process_domain,
@@ -71,12 +149,14 @@
 
 bool LeasedEndpoints::IsReachable(const std::string& process_domain,
                                   const Endpoint& endpoint) const {
-  return !endpoint.silent &&
+  return !endpoint.silent && !endpoint.down &&
          !this->partitions.contains({process_domain, endpoint.entry.domain});
 }
 
 std::int64_t LeasedEndpoints::ClockOf(const Endpoint& endpoint) const {
-  return (this->clock.Now() - endpoint.start_time) / milliseconds(1) + 1;
+  const auto age = std::chrono::duration<double, std::milli>(
+      this->clock.Now() - endpoint.start_time);
+  return static_cast<std::int64_t>(age.count() * endpoint.clock_rate) + 1;
 }
 
 OrderReply LeasedEndpoints::ReplyOf(const Endpoint& endpoint,
@@ -92,36 +172,78 @@
   if (target.endpoint_id != endpoint.entry.id) {
     return OrderOutcome::kWrongInstance;
   }
+  if (this->faults.overloaded > 0 &&
+      this->random.Chance(this->faults.overloaded)) {
+    return OrderOutcome::kOverloaded;
+  }
   if (target.fence < endpoint.fence) return OrderOutcome::kFenced;
   endpoint.fence = target.fence;
   return OrderOutcome::kAccepted;
 }
 
-void LeasedEndpoints::Send(const std::string& process_domain,
-                           const runs::OrderTarget& target,
-                           ProcessClock& process_clock,
-                           std::function<void(Endpoint&)> handle,
-                           std::function<void()> on_timeout) {
-  const std::string id = target.endpoint_id;
-  const auto timed_out = std::make_shared<bool>(false);
-  const auto handle_timeout = [timed_out, on_timeout] {
-    if (std::exchange(*timed_out, true)) return;
-    on_timeout();
-  };
+void LeasedEndpoints::Send(
+    const std::string& process_domain, const runs::OrderTarget& target,
+    ProcessClock& process_clock,
+    std::function<void(Endpoint&, const CallPointer&)> handle,
+    std::function<void()> on_timeout) {
+  const auto call = std::make_shared<Call>();
+  call->run = process_clock.GetRunner();
+  call->fail = process_clock.Guard(std::move(on_timeout));
   const bool late = this->random.Chance(this->faults.late);
-  const base::Duration delay =
-      late
-          ? this->random.Between(this->faults.min_delay, this->faults.max_delay)
-          : kOneWayDelay;
-  this->clock.StartTimer(target.timeout, process_clock.Guard(handle_timeout));
-  this->clock.StartTimer(delay, [this, id, process_domain, handle] {
-    const auto found = this->endpoints.find(id);
-    if (found == this->endpoints.end()) return;
-    if (!this->IsReachable(process_domain, found->second)) return;
-    handle(found->second);
+  base::Duration delay = late ? this->random.Between(this->faults.min_delay,
+                                                     this->faults.max_delay)
+                              : this->TransitTime();
+  this->clock.StartTimer(target.timeout, [call] { call->fail(); });
+  const auto found = this->endpoints.find(this->IdAt(target));
+  if (found == this->endpoints.end()) return;
+  Endpoint& endpoint = found->second;
+  call->incarnation = endpoint.incarnation;
+  if (endpoint.down) {
+    if (endpoint.crash_kind == CrashKind::kRefuses) this->EndConnection(call);
+    return;
+  }
+  if (endpoint.calls.size() >= kMaxListedCalls) {
+    std::erase_if(endpoint.calls,
+                  [](const auto& item) { return item.expired(); });
+  }
+  endpoint.calls.push_back(call);
+  if (this->faults.connection_ends > 0 &&
+      this->random.Chance(this->faults.connection_ends)) {
+    this->EndConnection(call);
+    call->lost = !this->random.Chance(kOrderSurvives);
+    delay = this->random.Between(kMinRestDelay, kMaxRestDelay);
+  }
+  this->clock.StartTimer(delay, [this, process_domain, target, late, call,
+                                 handle = std::move(handle)] {
+    this->Deliver(process_domain, target, late, call, handle);
   });
 }
 
+void LeasedEndpoints::Deliver(
+    const std::string& process_domain, const runs::OrderTarget& target,
+    bool late, const CallPointer& call,
+    const std::function<void(Endpoint&, const CallPointer&)>& handle) {
+  const auto found = this->endpoints.find(this->IdAt(target));
+  if (found == this->endpoints.end()) return;
+  Endpoint& endpoint = found->second;
+  if (!this->IsReachable(process_domain, endpoint)) return;
+  const bool restarted = endpoint.incarnation != call->incarnation;
+  if (restarted && this->faults.late_after_restart) {
+    handle(endpoint, call);
+    return;
+  }
+  if (call->lost || (restarted && (late || call->ended))) return;
+  handle(endpoint, call);
+}
+
+void LeasedEndpoints::SendAnswer(const CallPointer& call,
+                                 std::function<void()> answer) {
+  this->clock.StartTimer(this->TransitTime(),
+                         [call, answer = std::move(answer)] {
+                           if (!call->ended) call->run(answer);
+                         });
+}
+
 void LeasedEndpoints::Start(const std::string& process_domain,
                             const runs::StartOrder& order,
                             ProcessClock& process_clock,
@@ -130,15 +252,12 @@
   const auto answer = [answered, done](const OrderReply& reply) {
     if (!std::exchange(*answered, true)) done(reply);
   };
-  const auto run_in_process = process_clock.GetRunner();
   this->Send(
       process_domain, order.target, process_clock,
-      [this, order, answer, run_in_process](Endpoint& endpoint) {
+      [this, order, answer](Endpoint& endpoint, const CallPointer& call) {
         const OrderReply reply = this->HandleStart(endpoint, order);
         if (this->random.Chance(this->faults.answer_lost)) return;
-        this->clock.StartTimer(kOneWayDelay, [answer, reply, run_in_process] {
-          run_in_process([answer, reply] { answer(reply); });
-        });
+        this->SendAnswer(call, [answer, reply] { answer(reply); });
       },
       [answer] { answer(OrderReply{}); });
 }
@@ -207,10 +326,10 @@
   const auto answer = [answered, done](const OrderReply& reply) {
     if (!std::exchange(*answered, true)) done(reply);
   };
-  const auto run_in_process = process_clock.GetRunner();
   this->Send(
       process_domain, target, process_clock,
-      [this, target, task, run, answer, run_in_process](Endpoint& endpoint) {
+      [this, target, task, run, answer](Endpoint& endpoint,
+                                        const CallPointer& call) {
         const OrderOutcome admitted = this->Admit(endpoint, target);
         const OrderReply reply = this->ReplyOf(endpoint, admitted);
         if (admitted == OrderOutcome::kAccepted) {
@@ -228,9 +347,7 @@
           }
         }
         if (this->random.Chance(this->faults.answer_lost)) return;
-        this->clock.StartTimer(kOneWayDelay, [answer, reply, run_in_process] {
-          run_in_process([answer, reply] { answer(reply); });
-        });
+        this->SendAnswer(call, [answer, reply] { answer(reply); });
       },
       [answer] { answer(OrderReply{}); });
 }
@@ -243,9 +360,8 @@
   const auto answer = [answered, done](const PollReply& reply) {
     if (!std::exchange(*answered, true)) done(reply);
   };
-  const auto run_in_process = process_clock.GetRunner();
-  const auto send_reply = [this, order, answer,
-                           run_in_process](const std::string& id) {
+  const auto send_reply = [this, answer](const std::string& id,
+                                         const CallPointer& call) {
     Endpoint& endpoint = this->endpoints[id];
     PollReply reply;
     reply.order = this->ReplyOf(endpoint, OrderOutcome::kAccepted);
@@ -260,20 +376,17 @@
     }
     reply.ended = endpoint.ended;
     if (this->random.Chance(this->faults.answer_lost)) return;
-    this->clock.StartTimer(kOneWayDelay, [answer, reply, run_in_process] {
-      run_in_process([answer, reply] { answer(reply); });
-    });
+    this->SendAnswer(call, [answer, reply] { answer(reply); });
   };
   this->Send(
       process_domain, order.target, process_clock,
-      [this, order, answer, send_reply, run_in_process](Endpoint& endpoint) {
+      [this, order, answer, send_reply](Endpoint& endpoint,
+                                        const CallPointer& call) {
         const OrderOutcome admitted = this->Admit(endpoint, order.target);
         if (admitted != OrderOutcome::kAccepted) {
           PollReply reply;
           reply.order = this->ReplyOf(endpoint, admitted);
-          this->clock.StartTimer(kOneWayDelay, [answer, reply, run_in_process] {
-            run_in_process([answer, reply] { answer(reply); });
-          });
+          this->SendAnswer(call, [answer, reply] { answer(reply); });
           return;
         }
         std::erase_if(endpoint.ended, [&order](const runs::EndedRun& row) {
@@ -284,12 +397,12 @@
         }
         const std::string id = endpoint.entry.id;
         if (order.wait <= base::Duration{0} || !endpoint.ended.empty()) {
-          send_reply(id);
+          send_reply(id, call);
           return;
         }
         const std::uint64_t waiter = this->next_waiter++;
         endpoint.waiters.push_back(
-            {waiter, [send_reply, id] { send_reply(id); }});
+            {waiter, [send_reply, id, call] { send_reply(id, call); }});
         this->clock.StartTimer(order.wait, [this, id, waiter] {
           auto& waiters = this->endpoints[id].waiters;
           const auto found = std::find_if(
@@ -324,15 +437,18 @@
   endpoint.lease_end_ms =
       std::max(endpoint.lease_end_ms, std::min(until_ms, now + kMaxLeaseMs));
   this->clock.CancelTimer(endpoint.lease_timer);
+  const auto left = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(
+          static_cast<double>(endpoint.lease_end_ms - now) /
+          endpoint.clock_rate));
   endpoint.lease_timer =
-      this->clock.StartTimer(milliseconds(endpoint.lease_end_ms - now),
-                             [this, id = endpoint.entry.id] {
-                               Endpoint& expired = this->endpoints[id];
-                               while (!expired.runs.empty()) {
-                                 this->End(expired, expired.runs.begin()->first,
-                                           RunEndKind::kLeaseExpired);
-                               }
-                             });
+      this->clock.StartTimer(left, [this, id = endpoint.entry.id] {
+        Endpoint& expired = this->endpoints[id];
+        while (!expired.runs.empty()) {
+          this->End(expired, expired.runs.begin()->first,
+                    RunEndKind::kLeaseExpired);
+        }
+      });
 }
 
 }  // namespace hawthornwheel::testing
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,18 +31,58 @@
     base::Duration max_delay{12'000'000};
     /// Fraction of orders, from 0 to 1, that are carried out without an answer.
     double answer_lost = 0;
+    /// Fraction of orders, from 0 to 1, whose connection ends within 2 ms
+    /// without an answer. Half of them are carried out, before or after their
+    /// sender notices the end.
+    double connection_ends = 0;
+    /// Fraction of orders, from 0 to 1, that are refused with kOverloaded and
+    /// have no effect.
+    double overloaded = 0;
+    /// Orders and answers take up to this time, so that they overtake each
+    /// other; 0 for a fixed time.
+    base::Duration max_transit{0};
+    /// Whether an order that is carried out late, or whose connection has
+    /// ended, is also carried out by a later incarnation of its endpoint.
+    bool late_after_restart = false;
+  };
+
+  /// What happens to the connections to an endpoint that crashes.
+  enum class CrashKind {
+    /// They end at once, and new ones are refused.
+    kRefuses,
+    /// Nothing arrives until their orders time out.
+    kSilent,
   };
 
   /// References must outlive the endpoints.
   LeasedEndpoints(base::Clock& clock, Random& random);
 
-  /// Adds an endpoint. `pace` is a factor on all run times.
-  void Add(const catalog::EndpointEntry& entry, double pace = 1);
+  /// Adds an endpoint. `pace` is a factor on all run times, `clock_rate` the
+  /// speed of its clock.
+  void Add(const catalog::EndpointEntry& entry, double pace = 1,
+           double clock_rate = 1);
 
   /// Restarts an endpoint: it loses its runs, its lease and its fencing token,
   /// and gets a new incarnation.
   void Restart(const std::string& id);
 
+  /// Ends an endpoint: it loses its runs, its lease and its fencing token, and
+  /// gives no more answers, also to polls that wait.
+  void Crash(const std::string& id, CrashKind kind);
+
+  /// Starts a crashed endpoint again, as a new incarnation.
+  void Recover(const std::string& id);
+
+  /// Starts another endpoint at the address of a crashed one.
+  void Replace(const std::string& id, const std::string& new_id);
+
+  /// Returns whether an endpoint has crashed or is unknown.
+  bool IsDown(const std::string& id) const;
+
+  /// Ends all connections to an endpoint within 2 ms. Orders that have not
+  /// arrived may still be carried out.
+  void EndConnections(const std::string& id);
+
   /// Sets whether all orders to an endpoint are dropped.
   void SetSilent(const std::string& id, bool silent);
 
@@ -114,11 +155,31 @@
     std::function<void()> answer;
   };
 
+  /// Order in flight, with its connection.
+  struct Call {
+    std::uint64_t incarnation = 0;
+    /// Runs a callback in the sender.
+    ProcessClock::Runner run;
+    /// Reports to the sender that there is no answer. Does nothing after an
+    /// answer.
+    std::function<void()> fail;
+    /// Whether the connection has ended, so that no answer arrives.
+    bool ended = false;
+    /// Whether the order was lost with its connection.
+    bool lost = false;
+  };
+  using CallPointer = std::shared_ptr<Call>;
+
   struct Endpoint {
     catalog::EndpointEntry entry;
     /// Factor on the run time of every task.
     double pace = 1;
+    /// Speed of the endpoint's clock.
+    double clock_rate = 1;
     bool silent = false;
+    bool down = false;
+    CrashKind crash_kind = CrashKind::kSilent;
+    std::vector<std::weak_ptr<Call>> calls;
     std::uint64_t incarnation = 1;
     std::uint64_t fence = 0;
     base::TimePoint start_time;
@@ -139,10 +200,23 @@
 
   /// Delivers an order: runs `handle` with its endpoint, unless the endpoint is
   /// unreachable. `on_timeout` runs in the process when the order's timeout
-  /// expires, also after an answer.
+  /// expires or its connection ends, also after an answer.
   void Send(const std::string& process_domain, const runs::OrderTarget& target,
-            ProcessClock& process_clock, std::function<void(Endpoint&)> handle,
+            ProcessClock& process_clock,
+            std::function<void(Endpoint&, const CallPointer&)> handle,
             std::function<void()> on_timeout);
+  /// Delivers an order that has arrived.
+  void Deliver(
+      const std::string& process_domain, const runs::OrderTarget& target,
+      bool late, const CallPointer& call,
+      const std::function<void(Endpoint&, const CallPointer&)>& handle);
+  /// Runs `answer` in the sender of an order, unless its connection has ended.
+  void SendAnswer(const CallPointer& call, std::function<void()> answer);
+  void EndConnection(const CallPointer& call);
+  /// Returns the id of the endpoint at the address of an order.
+  std::string IdAt(const runs::OrderTarget& target) const;
+  base::Duration TransitTime();
+  void Reset(Endpoint& endpoint);
   std::int64_t ClockOf(const Endpoint& endpoint) const;
   /// Returns a reply without the incarnation, which only lists of runs carry.
   runs::OrderReply ReplyOf(const Endpoint& endpoint,
@@ -165,6 +239,8 @@
   Random& random;
   Faults faults;
   std::map<std::string, Endpoint> endpoints;
+  /// Ids of the endpoints that replaced others, by address.
+  std::map<std::string, std::string> replacements;
   std::set<std::pair<std::string, std::string>> partitions;
   std::map<std::string, TaskPlan> plans;
   /// Thousandths of a core by payload.
--- a/tests/support/plain_decoder.cc
+++ b/tests/support/plain_decoder.cc
@@ -9,6 +9,15 @@
 using base::ErrorKind;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Start of the endpoint's incarnation and its address, which is its id by
+// default.
+constexpr char kStartPrefix[] = "start=";
+constexpr char kAddressPrefix[] = "address=";
+
+}  // namespace
+
 base::Result<catalog::Configuration> PlainDecoder::DecodeConfiguration(
     const std::string& bytes) const {
   std::istringstream words(bytes);
@@ -44,13 +53,21 @@
   entry.id = id;
   entry.service = "s";
   entry.address = id;
-  std::string state;
   if (!(words >> entry.domain >> entry.capacity.cpu_milli)) {
     return Error(ErrorKind::kInvalidConfig, "no domain or capacity");
   }
   entry.capacity.memory_mb = 32'768;
-  words >> state;
-  entry.draining = state == "draining";
+  std::string word;
+  while (words >> word) {
+    if (word == "draining") entry.draining = true;
+    if (word.starts_with(kStartPrefix)) {
+      entry.incarnation_start_ms =
+          std::stoll(word.substr(sizeof(kStartPrefix) - 1));
+    }
+    if (word.starts_with(kAddressPrefix)) {
+      entry.address = word.substr(sizeof(kAddressPrefix) - 1);
+    }
+  }
   return entry;
 }
 
--- a/tests/support/process_clock.cc
+++ b/tests/support/process_clock.cc
@@ -49,11 +49,21 @@
   };
 }
 
+void ProcessClock::RunFirst(std::function<void()> callback) {
+  if (this->state->paused) {
+    this->state->first.push_back(std::move(callback));
+    return;
+  }
+  callback();
+}
+
 void ProcessClock::Pause() { this->state->paused = true; }
 
 void ProcessClock::Resume() {
   const std::shared_ptr<State> state = this->state;
   state->paused = false;
+  const auto first = std::exchange(state->first, {});
+  for (const auto& callback : first) callback();
   const auto deferred = std::move(state->deferred);
   state->deferred.clear();
   for (const auto& callback : deferred) {
--- a/tests/support/process_clock.h
+++ b/tests/support/process_clock.h
@@ -34,6 +34,11 @@
   using Runner = std::function<void(std::function<void()>)>;
   Runner GetRunner() const;
 
+  /// Runs `callback` in this process, after a pause before all callbacks that
+  /// the pause has deferred. A process notices a closed connection of a caller
+  /// before its timers run.
+  void RunFirst(std::function<void()> callback);
+
   void Pause();
   void Resume();
   bool IsPaused() const { return this->state->paused; }
@@ -45,6 +50,8 @@
     bool running = true;
     bool paused = false;
     std::vector<std::function<void()>> deferred;
+    /// Callbacks that run before the deferred ones.
+    std::vector<std::function<void()>> first;
   };
 
   base::Clock& shared_clock;
