Soak: log what each endpoint has carried out

A finding of the soak named the task, the runs and the time, not the orders behind them.

Change: the stand-in for the endpoints reports each start and stop when it is carried out (late ones with the time at which they were sent), each poll that changes the token, each end and each restart, with the endpoint's incarnation, clock, lease and highest token. No check is changed.

--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -8,7 +8,6 @@
 
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 
 namespace hawthornwheel::soak {
 namespace {
@@ -90,7 +89,10 @@
       store(clock),
       store_server(store, clock),
       leased_endpoints(clock, this->random),
-      store_address(store_server.Listen()) {
+      store_address(store_server.Listen()),
+      order_log(options.folder + "/orders.log") {
+  this->leased_endpoints.SetLog(
+      [this](const std::string& line) { this->order_log << line << '\n'; });
   for (int i = 0; i < options.endpoints; ++i) this->AddEndpoint(i);
   this->version = kFirstVersion;
   this->PublishConfiguration();
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -71,6 +72,8 @@
   void AddMember(int index, double cpu_share);
 
   std::string store_address;
+  /// What the endpoints have carried out.
+  std::ofstream order_log;
   int version = 0;
 };
 
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -122,6 +122,7 @@
   endpoint.start_time = this->clock.Now();
   endpoint.waiters.clear();
   ++endpoint.incarnation;
+  this->Log(endpoint, "restart");
 }
 
 void LeasedEndpoints::SetSilent(const std::string& id, bool silent) {
@@ -167,6 +168,16 @@
   return reply;
 }
 
+void LeasedEndpoints::Log(const Endpoint& endpoint,
+                          const std::string& event) const {
+  if (!this->log) return;
+  this->log(fmt::format(
+      "time_ms={} endpoint={} incarnation={} clock_ms={} lease_end_ms={} "
+      "highest_token={} {}",
+      this->clock.WallMilliseconds(), endpoint.entry.id, endpoint.incarnation,
+      this->ClockOf(endpoint), endpoint.lease_end_ms, endpoint.fence, event));
+}
+
 OrderOutcome LeasedEndpoints::Admit(Endpoint& endpoint,
                                     const runs::OrderTarget& target) {
   if (target.endpoint_id != endpoint.entry.id) {
@@ -254,8 +265,15 @@
   };
   this->Send(
       process_domain, order.target, process_clock,
-      [this, order, answer](Endpoint& endpoint, const CallPointer& call) {
+      [this, order, answer, sent_ms = this->clock.WallMilliseconds()](
+          Endpoint& endpoint, const CallPointer& call) {
         const OrderReply reply = this->HandleStart(endpoint, order);
+        this->Log(endpoint,
+                  fmt::format("start task={} run={} token={} lease_until_ms={} "
+                              "sent_ms={} outcome={}",
+                              order.task, order.run, order.target.fence,
+                              order.lease_until_ms, sent_ms,
+                              runs::NameOf(reply.outcome)));
         if (this->random.Chance(this->faults.answer_lost)) return;
         this->SendAnswer(call, [answer, reply] { answer(reply); });
       },
@@ -332,6 +350,10 @@
                                         const CallPointer& call) {
         const OrderOutcome admitted = this->Admit(endpoint, target);
         const OrderReply reply = this->ReplyOf(endpoint, admitted);
+        this->Log(endpoint,
+                  fmt::format("stop task={} run={} token={} "
+                              "outcome={}",
+                              task, run, target.fence, runs::NameOf(admitted)));
         if (admitted == OrderOutcome::kAccepted) {
           std::uint64_t& highest = endpoint.highest_ended[task];
           highest = std::max(highest, run);
@@ -382,7 +404,14 @@
       process_domain, order.target, process_clock,
       [this, order, answer, send_reply](Endpoint& endpoint,
                                         const CallPointer& call) {
+        const std::uint64_t previous_token = endpoint.fence;
         const OrderOutcome admitted = this->Admit(endpoint, order.target);
+        if (order.target.fence != previous_token) {
+          this->Log(endpoint, fmt::format("poll token={} previous_token={} "
+                                          "outcome={}",
+                                          order.target.fence, previous_token,
+                                          runs::NameOf(admitted)));
+        }
         if (admitted != OrderOutcome::kAccepted) {
           PollReply reply;
           reply.order = this->ReplyOf(endpoint, admitted);
@@ -420,6 +449,8 @@
 void LeasedEndpoints::End(Endpoint& endpoint, RunKey key, RunEndKind kind) {
   const auto found = endpoint.runs.find(key);
   if (found == endpoint.runs.end()) return;
+  this->Log(endpoint, fmt::format("end task={} run={} kind={}", key.first,
+                                  key.second, static_cast<int>(kind)));
   this->clock.CancelTimer(found->second.timer);
   if (kind == RunEndKind::kDone) ++this->done_of[found->second.payload];
   endpoint.runs.erase(found);
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -108,6 +108,12 @@
             ProcessClock& process_clock,
             std::function<void(const runs::PollReply&)> done);
 
+  /// Calls `log` with one line for each order when it is carried out, and for
+  /// each end of a run and each restart.
+  void SetLog(std::function<void(const std::string&)> new_log) {
+    this->log = std::move(new_log);
+  }
+
   /// Descriptions of all violations so far.
   const std::vector<std::string>& Violations() const {
     return this->violations;
@@ -230,6 +236,7 @@
   /// callers pass a reference into the map entry that is erased.
   void End(Endpoint& endpoint, RunKey key, runs::RunEndKind kind);
   void RenewLease(Endpoint& endpoint, std::int64_t until_ms);
+  void Log(const Endpoint& endpoint, const std::string& event) const;
   /// Records the violations that a new run causes.
   void CheckStart(const Endpoint& endpoint, const RunKey& key);
   bool IsReachable(const std::string& process_domain,
@@ -246,6 +253,7 @@
   /// Thousandths of a core by payload.
   std::map<std::string, std::int64_t> cpu;
   std::vector<std::string> violations;
+  std::function<void(const std::string&)> log;
   std::uint64_t starts = 0;
   std::map<std::string, std::uint64_t> starts_of;
   std::map<std::string, std::uint64_t> done_of;
