Soak: a launch returns after the program has replaced the soak's image

Between fork and exec, a child of the soak ends on SIGHUP whatever the program does. A reload that followed a restart within that time counted as an exit of the dispatcher.

Change: the children are started with posix_spawn, which returns after the exec. The rest of a launch stays exposed to SIGHUP, as before: the platform's pages do not say that a launcher blocks or ignores it.

--- a/soak/child_process.cc
+++ b/soak/child_process.cc
@@ -1,6 +1,7 @@
 #include "soak/child_process.h"
 
 #include <fcntl.h>
+#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,19 +12,25 @@
 ChildProcess::ChildProcess(const std::string& program,
                            const std::string& settings_file,
                            const std::string& log_file) {
-  const std::string flag = "--settings=" + settings_file;
-  this->pid = fork();
-  if (this->pid != 0) return;
+  std::string name = program;
+  std::string flag = "--settings=" + settings_file;
+  char* arguments[] = {name.data(), flag.data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kLogFileMode = 0644;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   // The program must not hold connections of the soak's callers and proxies
   // open: their other ends would not notice that the soak closes them.
-  close_range(STDERR_FILENO + 1, ~0U, 0);
-  constexpr int kLogFileMode = 0644;
-  const int log =
-      open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
-  dup2(log, STDOUT_FILENO);
-  dup2(log, STDERR_FILENO);
-  execl(program.c_str(), program.c_str(), flag.c_str(), nullptr);
-  _exit(1);
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  // Returns after the program has replaced the soak's image, so that no signal
+  // of the soak reaches the child before.
+  if (posix_spawn(&this->pid, program.c_str(), &actions, nullptr, arguments,
+                  environ) != 0) {
+    this->pid = -1;
+  }
+  posix_spawn_file_actions_destroy(&actions);
 }
 
 ChildProcess::~ChildProcess() {
