Soak: connections between dispatchers are forwarded by processes of their own

Cause: all proxies, the stand-ins and the callers shared one loop with a GLib source for each socket; it had 5300 descriptors and used 0.9 of a core all the time. The mesh of n members has n(n-1) connections with two descriptors each, more than a process may have (20000) from about 100 members on.

Change: the proxies of 25 members each run in a child process of the soak (ProxyHost); sockets of proxies are watched through one epoll descriptor. Load and checks are as before.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -191,7 +191,7 @@
   }
 }
 
-void FaultPlan::InjectProxyFault(TcpProxy& proxy,
+void FaultPlan::InjectProxyFault(Proxy& proxy,
                                  const std::string& proxy_name) {
   const std::uint64_t kind = this->environment.random.Below(7);
   if (kind == 0) {
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -38,7 +38,7 @@
   void ScheduleSeries();
   void InjectFault();
   void InjectProcessFault(SoakMember& member);
-  void InjectProxyFault(TcpProxy& proxy, const std::string& proxy_name);
+  void InjectProxyFault(Proxy& proxy, const std::string& proxy_name);
   /// Starts a series of signals and configuration changes that follow each
   /// other within milliseconds, half of them to one process.
   void InjectSeries();
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -13,6 +13,7 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "base/glib_clock.h"
+#include "soak/proxy_host.h"
 #include "soak/soak_run.h"
 
 ABSL_FLAG(std::string, daemon, "", "Path of hawthornwheeld.");
@@ -28,6 +29,8 @@
 ABSL_FLAG(int, endpoints, 12, "Number of endpoints.");
 ABSL_FLAG(double, rate, 7, "Jobs per second.");
 ABSL_FLAG(bool, faults, true, "Whether faults are injected.");
+ABSL_FLAG(bool, proxy_host, false,
+          "Used by the soak itself: forwards connections for it.");
 
 namespace hawthornwheel::soak {
 namespace {
@@ -74,11 +77,15 @@
       "  soak --daemon=PATH [--seed=N] [--seeds=N] [--seconds=N]\n"
       "Exit codes: 0 no finding, 1 findings, 2 usage.");
   absl::ParseCommandLine(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (absl::GetFlag(FLAGS_proxy_host)) {
+    ProxyHost::Serve();
+    return 0;
+  }
   if (absl::GetFlag(FLAGS_daemon).empty()) {
     fmt::print(stderr, "soak: --daemon is missing\n");
     return kExitUsage;
   }
-  std::signal(SIGPIPE, SIG_IGN);
   const std::uint64_t first = absl::GetFlag(FLAGS_seed);
   const auto count = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seeds));
   int failed = 0;
--- a/soak/proxy_link.cc
+++ b/soak/proxy_link.cc
@@ -1,6 +1,5 @@
 #include "soak/proxy_link.h"
 
-#include <glib-unix.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,19 +25,14 @@
       sockets{client, server},
       forward_timer(proxy.Clock()) {
   for (const Side side : {kClient, kServer}) {
-    this->inputs[side] = {this, side};
-    this->source_ids[side] = g_unix_fd_add(
-        this->sockets[side], G_IO_IN,
-        [](gint descriptor, GIOCondition condition, gpointer data) {
-          return OnReadable(descriptor, condition, data);
-        },
-        &this->inputs[side]);
+    proxy.Sockets().Add(this->sockets[side],
+                        [this, side] { this->OnInput(side); });
   }
 }
 
 ProxyLink::~ProxyLink() {
   for (const Side side : {kClient, kServer}) {
-    if (this->source_ids[side] != 0) g_source_remove(this->source_ids[side]);
+    this->proxy.Sockets().Remove(this->sockets[side]);
     close(this->sockets[side]);
   }
 }
@@ -50,25 +44,25 @@
   }
 }
 
-int ProxyLink::OnReadable(int, unsigned, void* data) {
-  const auto* input = static_cast<InputContext*>(data);
-  ProxyLink* link = input->link;
-  if (!link->ReadFrom(input->side)) {
-    link->source_ids[input->side] = 0;
-    link->proxy.RemoveLink(link->id);
-    return G_SOURCE_REMOVE;
+void ProxyLink::OnInput(Side side) {
+  if (!this->ReadFrom(side)) {
+    this->proxy.RemoveLink(this->id);
+    return;
   }
-  link->ForwardQueued();
-  return G_SOURCE_CONTINUE;
+  this->ForwardQueued();
 }
 
 bool ProxyLink::ReadFrom(Side side) {
-  std::string bytes(kReadBytes, '\0');
-  const ssize_t size = recv(this->sockets[side], bytes.data(), bytes.size(), 0);
+  static std::array<char, kReadBytes> buffer;
+  const ssize_t size =
+      recv(this->sockets[side], buffer.data(), buffer.size(), 0);
   if (size < 0 && (errno == EAGAIN || errno == EINTR)) return true;
   if (size <= 0) return false;
-  bytes.resize(static_cast<std::size_t>(size));
+  std::string bytes(buffer.data(), static_cast<std::size_t>(size));
   const bool delayed = this->proxy.Mode() == ProxyMode::kDelay;
+  if (side == kServer && this->proxy.Mode() == ProxyMode::kEndAtAnswer) {
+    this->proxy.EndLinksSoon();
+  }
   const base::TimePoint now = this->proxy.Clock().Now();
   const Side to = side == kClient ? kServer : kClient;
   this->queues[to].push_back(
@@ -80,7 +74,8 @@
   const ProxyMode mode = this->proxy.Mode();
   return this->blackholed || mode == ProxyMode::kHoldBoth ||
          (mode == ProxyMode::kHoldToServer && to == kServer) ||
-         (mode == ProxyMode::kHoldToClient && to == kClient);
+         (mode == ProxyMode::kHoldToClient && to == kClient) ||
+         (mode == ProxyMode::kEndAtAnswer && to == kClient);
 }
 
 bool ProxyLink::WriteTo(Side side) {
--- a/soak/proxy_link.h
+++ b/soak/proxy_link.h
@@ -39,15 +39,9 @@
     std::string bytes;
   };
 
-  /// Argument of OnReadable() for one side.
-  struct InputContext {
-    ProxyLink* link = nullptr;
-    Side side = kClient;
-  };
-
-  /// Called by GLib when a socket is readable or closed. Removes the link, and
-  /// with it `data`, when the connection has ended.
-  static int OnReadable(int descriptor, unsigned condition, void* data);
+  /// Called when a socket is readable or closed. Removes the link when the
+  /// connection has ended.
+  void OnInput(Side side);
   /// Queues bytes for the other side; returns false when the connection has
   /// ended.
   bool ReadFrom(Side side);
@@ -59,9 +53,6 @@
   TcpProxy& proxy;
   std::uint64_t id;
   std::array<int, 2> sockets;
-  /// GLib sources of the sockets; 0 for none.
-  std::array<unsigned, 2> source_ids{};
-  std::array<InputContext, 2> inputs;
   /// Bytes to be written to each side.
   std::array<std::deque<Chunk>, 2> queues;
   bool blackholed = false;
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -28,6 +28,10 @@
 // process that another run restarts.
 constexpr int kPortsPerRun = 1'000;
 
+// Each member receives connections from all others, and a proxy has two
+// descriptors for each.
+constexpr int kMembersPerProxyHost = 25;
+
 // Returns a socket that is bound to `port`, or -1 if the port is in use.
 int BindPort(int port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -107,7 +111,7 @@
 SoakEnvironment::~SoakEnvironment() = default;
 
 void SoakEnvironment::AddEndpoint(int index) {
-  auto endpoint = std::make_unique<Endpoint>(this->clock);
+  auto endpoint = std::make_unique<Endpoint>(this->clock, this->sockets);
   endpoint->id = fmt::format("e{}", index);
   endpoint->domain = fmt::format("d{}", index % this->options.domains);
   catalog::EndpointEntry entry;
@@ -162,7 +166,11 @@
 }
 
 void SoakEnvironment::AddMember(int index, double cpu_share) {
-  auto member = std::make_unique<SoakMember>(this->clock);
+  if (index % kMembersPerProxyHost == 0) {
+    this->proxy_host = std::make_shared<ProxyHost>();
+  }
+  auto member = std::make_unique<SoakMember>(this->clock, this->sockets,
+                                             this->proxy_host);
   member->name = fmt::format("p{}", index);
   member->domain = fmt::format("d{}", index % this->options.domains);
   member->cpu_share = cpu_share;
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -7,6 +7,7 @@
 
 #include "soak/soak_member.h"
 #include "soak/soak_options.h"
+#include "soak/socket_set.h"
 #include "standins/hosted_endpoint_server.h"
 #include "standins/hosted_store_server.h"
 #include "support/keyed_store.h"
@@ -50,7 +51,7 @@
 
   /// One endpoint stand-in, served through a proxy.
   struct Endpoint {
-    explicit Endpoint(base::Clock& clock) : proxy(clock) {}
+    Endpoint(base::Clock& clock, SocketSet& sockets) : proxy(clock, sockets) {}
     std::string id;
     std::string domain;
     std::string address;
@@ -61,6 +62,7 @@
   base::Clock& clock;
   SoakOptions options;
   testing::Random random;
+  SocketSet sockets;
   testing::KeyedStore store;
   testing::HostedStoreServer store_server;
   testing::LeasedEndpoints leased_endpoints;
@@ -74,6 +76,8 @@
   std::string store_address;
   /// What the endpoints have carried out.
   std::ofstream order_log;
+  /// Host of the next member's peer proxy.
+  std::shared_ptr<ProxyHost> proxy_host;
   int version = 0;
 };
 
--- a/soak/soak_member.h
+++ b/soak/soak_member.h
@@ -2,8 +2,10 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "soak/child_process.h"
+#include "soak/remote_proxy.h"
 #include "soak/tcp_proxy.h"
 
 namespace hawthornwheel::soak {
@@ -11,8 +13,9 @@
 /// Holds one dispatcher process of a soak run, its addresses, and the proxies
 /// between it and the other processes.
 struct SoakMember {
-  explicit SoakMember(base::Clock& clock)
-      : peer_proxy(clock), store_proxy(clock) {}
+  SoakMember(base::Clock& clock, SocketSet& sockets,
+             std::shared_ptr<ProxyHost> host)
+      : peer_proxy(std::move(host)), store_proxy(clock, sockets) {}
 
   std::string name;
   std::string domain;
@@ -32,7 +35,7 @@
   /// Offset of its wall clock.
   int wall_offset_ms = 0;
   /// Forwards what peers send to this process.
-  TcpProxy peer_proxy;
+  RemoteProxy peer_proxy;
   /// Forwards the requests of this process to the store.
   TcpProxy store_proxy;
   std::unique_ptr<ChildProcess> process;
--- a/soak/tcp_proxy.cc
+++ b/soak/tcp_proxy.cc
@@ -2,11 +2,13 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
-#include <glib-unix.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
+#include <utility>
+
 #include "base/address.h"
 #include "soak/proxy_link.h"
 
@@ -14,6 +16,9 @@
 namespace {
 
 constexpr int kBacklog = 512;
+// Time from the first answer to the end of the connections in the mode
+// kEndAtAnswer. Orders on the other connections are carried out meanwhile.
+constexpr base::Duration kEndDelay = std::chrono::milliseconds(3);
 
 sockaddr_in Loopback(std::uint16_t port) {
   sockaddr_in address{};
@@ -29,11 +34,13 @@
 
 }  // namespace
 
-TcpProxy::TcpProxy(base::Clock& clock) : clock(clock) {}
+TcpProxy::TcpProxy(base::Clock& clock, SocketSet& sockets)
+    : clock(clock), sockets(sockets), end_timer(clock) {}
 
 TcpProxy::~TcpProxy() {
-  if (this->accept_source_id != 0) g_source_remove(this->accept_source_id);
-  if (this->listener >= 0) close(this->listener);
+  if (this->listener < 0) return;
+  this->sockets.Remove(this->listener);
+  close(this->listener);
 }
 
 std::string TcpProxy::Listen() {
@@ -43,13 +50,7 @@
   listen(this->listener, kBacklog);
   socklen_t size = sizeof(address);
   getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
-  this->accept_source_id = g_unix_fd_add(
-      this->listener, G_IO_IN,
-      [](gint, GIOCondition, gpointer data) -> gboolean {
-        static_cast<TcpProxy*>(data)->Accept();
-        return G_SOURCE_CONTINUE;
-      },
-      this);
+  this->sockets.Add(this->listener, [this] { this->Accept(); });
   return fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
 }
 
@@ -88,4 +89,13 @@
 
 void TcpProxy::RemoveLink(std::uint64_t link_id) { this->links.erase(link_id); }
 
+void TcpProxy::EndLinksSoon() {
+  if (this->end_timer.IsActive()) return;
+  this->end_timer.StartOnce(kEndDelay, [this] {
+    this->ends_with_reset = !this->ends_with_reset;
+    if (this->ends_with_reset) this->Reset();
+    this->links.clear();
+  });
+}
+
 }  // namespace hawthornwheel::soak
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -5,66 +5,53 @@
 #include <memory>
 #include <string>
 
-#include "base/clock.h"
+#include "base/timer.h"
+#include "soak/proxy.h"
+#include "soak/socket_set.h"
 
 namespace hawthornwheel::soak {
 
 class ProxyLink;
 
-/// How a proxy treats the bytes of its connections.
-enum class ProxyMode {
-  /// Bytes are forwarded at once.
-  kPass,
-  /// Bytes are forwarded after a fixed delay.
-  kDelay,
-  /// Bytes are held back, in one direction or in both, until the mode changes.
-  kHoldToServer,
-  kHoldToClient,
-  kHoldBoth,
-  /// New connections are closed at once, and open connections are reset.
-  kRefuse,
-};
-
-/// Forwards TCP connections on loopback and injects network faults into them.
-class TcpProxy {
+/// Forwards the connections of a proxy in this process.
+class TcpProxy final : public Proxy {
  public:
-  /// `clock` must outlive the proxy.
-  explicit TcpProxy(base::Clock& clock);
-  ~TcpProxy();
-
-  /// Listens on a free port of the loopback interface; returns `IP:port`.
-  std::string Listen();
-
-  /// Sets the `IP:port` that new connections are forwarded to.
-  void SetTarget(const std::string& address) { this->target = address; }
-
-  /// Sets the mode of all connections, open ones included.
-  void SetMode(ProxyMode new_mode);
-
-  /// Resets the open connections.
-  void Reset();
-
-  /// Stops forwarding on all open connections for good without closing them;
-  /// new connections work.
-  void BlackholeConnections();
+  /// References must outlive the proxy.
+  TcpProxy(base::Clock& clock, SocketSet& sockets);
+  ~TcpProxy() override;
+
+  std::string Listen() override;
+  void SetTarget(const std::string& address) override {
+    this->target = address;
+  }
+  void SetMode(ProxyMode new_mode) override;
+  void Reset() override;
+  void BlackholeConnections() override;
 
   ProxyMode Mode() const { return this->mode; }
   base::Clock& Clock() { return this->clock; }
+  SocketSet& Sockets() { return this->sockets; }
 
   /// Closes and removes a link whose connection has ended.
   void RemoveLink(std::uint64_t link_id);
 
+  /// Ends all connections a little later, so that requests on their way are
+  /// delivered first; for ProxyMode::kEndAtAnswer.
+  void EndLinksSoon();
+
  private:
   void Accept();
 
   base::Clock& clock;
+  SocketSet& sockets;
   std::string target;
   ProxyMode mode = ProxyMode::kPass;
   int listener = -1;
-  /// GLib source of the listener; 0 for none.
-  unsigned accept_source_id = 0;
   std::uint64_t next_link = 1;
   std::map<std::uint64_t, std::unique_ptr<ProxyLink>> links;
+  base::Timer end_timer;
+  /// Whether the connections that EndLinksSoon() ends next are reset.
+  bool ends_with_reset = false;
 };
 
 }  // namespace hawthornwheel::soak
