Soak: connections that end after an order was carried out; long store outages

The soak reset connections at random times, lost answers on connections that stayed open, and took the store down for 0.2 to 4 s only.

A quarter of these series begin with a store outage of 5 to 9 s. They have a random sequence of their own, so that the other faults of a seed stay as they were.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 
@@ -22,6 +23,18 @@
 constexpr base::Duration kMaxStepInterval = milliseconds(300);
 constexpr std::uint64_t kMinSeriesSteps = 3;
 constexpr std::uint64_t kMaxSeriesSteps = 8;
+// Time between two series of cut connections, and between the cuts of one.
+constexpr base::Duration kMinCutsInterval = milliseconds(1'500);
+constexpr base::Duration kMaxCutsInterval = milliseconds(5'000);
+constexpr base::Duration kMinCutInterval = milliseconds(5);
+constexpr base::Duration kMaxCutInterval = milliseconds(900);
+constexpr base::Duration kMinCutDuration = milliseconds(5);
+constexpr base::Duration kMaxCutDuration = milliseconds(250);
+constexpr std::uint64_t kMaxCuts = 8;
+// Share of the series of cuts with a long outage of the store.
+constexpr double kOutageShare = 0.25;
+constexpr base::Duration kMinOutage = milliseconds(5'000);
+constexpr base::Duration kMaxOutage = milliseconds(9'000);
 // Wall clocks of processes are ahead or behind by up to this value.
 constexpr int kMaxWallOffsetMs = 5'000;
 
@@ -37,6 +50,8 @@
       timer(environment.clock),
       series_random(environment.options.seed),
       series_timer(environment.clock),
+      cut_random(environment.options.seed),
+      cut_timer(environment.clock),
       process_check_timer(environment.clock) {}
 
 void FaultPlan::Start() {
@@ -45,6 +60,7 @@
   if (!this->environment.options.faults) return;
   this->ScheduleNext();
   this->ScheduleSeries();
+  this->ScheduleCuts();
 }
 
 void FaultPlan::RecordFault(const std::string& description) {
@@ -132,6 +148,52 @@
   }
 }
 
+void FaultPlan::ScheduleCuts() {
+  this->cut_timer.StartOnce(
+      this->cut_random.Between(kMinCutsInterval, kMaxCutsInterval), [this] {
+        this->InjectCuts();
+        this->ScheduleCuts();
+      });
+}
+
+void FaultPlan::InjectCuts() {
+  if (this->cut_random.Chance(kOutageShare)) {
+    this->RecordFault("cuts: store down");
+    this->TakeStoreDown(this->cut_random.Between(kMinOutage, kMaxOutage));
+  }
+  const std::uint64_t cuts = 1 + this->cut_random.Below(kMaxCuts);
+  base::Duration delay{0};
+  for (std::uint64_t i = 0; i < cuts; ++i) {
+    const std::size_t index =
+        this->cut_random.Below(this->environment.endpoints.size());
+    const base::Duration duration =
+        this->cut_random.Between(kMinCutDuration, kMaxCutDuration);
+    this->environment.clock.StartTimer(delay, [this, index, duration] {
+      this->CutConnections(index, duration);
+    });
+    delay += this->cut_random.Between(kMinCutInterval, kMaxCutInterval);
+  }
+}
+
+void FaultPlan::CutConnections(std::size_t endpoint, base::Duration duration) {
+  if (!this->active) return;
+  SoakEnvironment::Endpoint& cut = *this->environment.endpoints[endpoint];
+  this->RecordFault("cuts: end connections at an answer " + cut.id);
+  cut.proxy.SetMode(ProxyMode::kEndAtAnswer);
+  this->environment.clock.StartTimer(
+      duration, [&cut] { cut.proxy.SetMode(ProxyMode::kPass); });
+}
+
+void FaultPlan::TakeStoreDown(base::Duration duration) {
+  const base::TimePoint now = this->environment.clock.Now();
+  this->store_down_until = std::max(this->store_down_until, now + duration);
+  this->environment.store.SetDown("", true);
+  this->environment.clock.StartTimer(duration, [this] {
+    if (this->environment.clock.Now() < this->store_down_until) return;
+    this->environment.store.SetDown("", false);
+  });
+}
+
 void FaultPlan::Pause(SoakMember& member, base::Duration duration) {
   member.paused = true;
   member.process->Signal(SIGSTOP);
@@ -191,8 +253,7 @@
   }
 }
 
-void FaultPlan::InjectProxyFault(Proxy& proxy,
-                                 const std::string& proxy_name) {
+void FaultPlan::InjectProxyFault(Proxy& proxy, const std::string& proxy_name) {
   const std::uint64_t kind = this->environment.random.Below(7);
   if (kind == 0) {
     this->RecordFault("reset " + proxy_name);
@@ -255,10 +316,7 @@
       return;
     case 1:
       this->RecordFault("store down");
-      this->environment.store.SetDown("", true);
-      this->environment.clock.StartTimer(this->RandomDuration(), [this] {
-        this->environment.store.SetDown("", false);
-      });
+      this->TakeStoreDown(this->RandomDuration());
       return;
     default:
       this->RecordFault("publish");
@@ -283,6 +341,7 @@
   this->active = false;
   this->timer.Stop();
   this->series_timer.Stop();
+  this->cut_timer.Stop();
   this->environment.store.SetDown("", false);
   this->environment.leased_endpoints.SetFaults({});
   for (const auto& member : this->environment.members) {
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -43,6 +43,12 @@
   /// other within milliseconds, half of them to one process.
   void InjectSeries();
   void InjectSeriesStep(SoakMember& member);
+  void ScheduleCuts();
+  /// Ends connections to a few endpoints right after orders on them were
+  /// carried out, sometimes during a long outage of the store.
+  void InjectCuts();
+  void CutConnections(std::size_t endpoint, base::Duration duration);
+  void TakeStoreDown(base::Duration duration);
   void Pause(SoakMember& member, base::Duration duration);
   void InjectEndpointFault();
   void InjectStoreFault();
@@ -58,8 +64,12 @@
   /// when a seed was recorded.
   testing::Random series_random;
   base::Timer series_timer;
+  testing::Random cut_random;
+  base::Timer cut_timer;
   base::Timer process_check_timer;
   bool active = true;
+  /// End of the outages of the store that have begun.
+  base::TimePoint store_down_until;
   std::uint64_t fault_count = 0;
   std::vector<std::string> unexpected_exits;
 };
