Cluster: ignore a confirmation of a time that this process has not reached

Seen by callers: none is known.

Cause: ZeroMQ delivers queued heartbeats to the process that starts at the same address. After a reboot of the VM its steady clock begins anew, and the confirmation in such a heartbeat is a reading of the earlier clock. The larger of two readings counts, so every job that the sender had forwarded counted as given up, and the time since the latest confirmation became negative, which turns off the stop of runs of a silent process.

Change: a confirmation above the own clock is ignored.

Before: JobOutlastsHeartbeatThatConfirmsALaterTime "Running() Which is: 0" for 1. After: it passes.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -468,7 +468,8 @@
       heartbeat.member().domain() != member.announce.domain();
   changed =
       changed || heartbeat.hears_receiver() != member.last.hears_receiver() ||
-      heartbeat.receiver_live_since_ms() > member.confirmed_since_steady_ms;
+      (heartbeat.receiver_steady_ms() <= this->OwnSteadyMs() &&
+       heartbeat.receiver_live_since_ms() > member.confirmed_since_steady_ms);
   member.announce = heartbeat.member();
   member.last_heard = this->parts.clock.Now();
   for (const std::string& peer : heartbeat.peers()) this->AddMember(peer);
@@ -489,10 +490,14 @@
     member.confirmed_since_steady_ms = 0;
   }
   if (joined) member.live_since_steady_ms = heartbeat.steady_ms();
-  member.confirmed_steady_ms =
-      std::max(member.confirmed_steady_ms, heartbeat.receiver_steady_ms());
-  member.confirmed_since_steady_ms = std::max(
-      member.confirmed_since_steady_ms, heartbeat.receiver_live_since_ms());
+  // A queued heartbeat for the process that this VM ran before a reboot
+  // confirms readings of a clock that has begun anew since.
+  if (heartbeat.receiver_steady_ms() <= this->OwnSteadyMs()) {
+    member.confirmed_steady_ms =
+        std::max(member.confirmed_steady_ms, heartbeat.receiver_steady_ms());
+    member.confirmed_since_steady_ms = std::max(
+        member.confirmed_since_steady_ms, heartbeat.receiver_live_since_ms());
+  }
   const bool holds_others = MergeHeld(heartbeat, member.held);
   // A member of another domain reports different endpoints each time. Claims of
   // endpoints there wait for the next periodic check.
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -262,6 +262,33 @@
   EXPECT_EQ(this->Running(), 0U);
 }
 
+// A heartbeat for the process that the VM ran before a reboot confirmed a
+// reading of a clock that had begun anew: all jobs of its sender were given up.
+TEST_F(JobRelayTest, JobOutlastsHeartbeatThatConfirmsALaterTime) {
+  constexpr std::uint64_t kEarlierClockMs = 1'000'000;
+  const auto answer =
+      this->fleet.Submit("weak0", kLongTimeoutPath, 1, seconds(2));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->Running(), 1U);
+  HostedProcess& coordinator = this->CoordinatorOfOpenJob();
+  const cluster::ClusterBoard::Member* entry =
+      coordinator.cluster.Board().FindLive("weak0");
+  ASSERT_NE(entry, nullptr);
+  wire::Envelope envelope;
+  envelope.set_sender_address("weak0");
+  envelope.set_sender(entry->announce.incarnation());
+  wire::MemberHeartbeat& heartbeat = *envelope.mutable_member_heartbeat();
+  heartbeat = entry->last;
+  const std::uint64_t later =
+      coordinator.cluster.OwnSteadyMs() + kEarlierClockMs;
+  heartbeat.set_receiver_steady_ms(later);
+  heartbeat.set_receiver_live_since_ms(later);
+  coordinator.cluster.Receive(envelope);
+  this->fleet.Run(milliseconds(300));
+  EXPECT_FALSE(answer->has_value());
+  EXPECT_EQ(this->Running(), 1U);
+}
+
 // Guards against a job that runs at two processes: a copy of it was forwarded
 // to another coordinator, since the first one is leaving.
 TEST_F(JobRelayTest, CopyJoinsJobAtLeavingCoordinator) {
