Jobs: a task of a copy waits for the runs of that task only

Cause: all tasks of a copy waited while one run of the earlier submission had no reported end, up to 2 s when its holder is lost. Meanwhile the latest start of the copy passed, and it was rejected although its other tasks could start.

Change: open runs of ended jobs are counted by task.

JobCoordinatorTest.OverdueRunOfEarlierSubmissionIsIgnored no longer placed the copy, so it could not fail; ReportsOfEarlierSubmissionDoNotAffectPlacedCopy checks both reports after the copy has been placed, beside it.

Before: CopyStartsTasksThatHaveNoEndingRun, 2 placements for 3. After: it passes.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -207,8 +207,7 @@
 void JobCoordinator::PlaceWaitingTasks() {
   std::vector<JobPointer> waiting_jobs;
   for (const auto& [id, job] : this->jobs) {
-    if (job->waiting_tasks == 0 || this->ending_runs.contains(id)) continue;
-    waiting_jobs.push_back(job);
+    if (job->waiting_tasks > 0) waiting_jobs.push_back(job);
   }
   if (waiting_jobs.empty()) {
     this->placer.SetTasksWaiting(false);
@@ -269,6 +268,7 @@
   for (std::size_t index = 0; index < job.tasks.size(); ++index) {
     Job::Task& task = job.tasks[index];
     if (task.state != Job::TaskState::kWaiting) continue;
+    if (this->HasEndingRun(job, index)) continue;
     requirements.avoid = &task.avoid;
     Candidate* candidate = ChooseEndpoint(candidates, requirements);
     if (candidate == nullptr && task.failed_runs > 0) {
@@ -340,7 +340,7 @@
     if (locked_job && !locked_job->ended) {
       this->OnRunEnd(*locked_job, index, run, outcome, endpoint);
     } else {
-      this->OnEndingRunEnd(id);
+      this->OnEndingRunEnd(id, index);
     }
   };
   handlers.on_overdue = [this, weak_job, index, run](base::Duration expected) {
@@ -529,9 +529,10 @@
 void JobCoordinator::StopRuns(const Job& job) {
   if (job.placed_tasks == 0) return;
   EndingRuns& ending = this->ending_runs[job.request.id];
-  ending.open += job.placed_tasks;
-  for (const Job::Task& task : job.tasks) {
+  for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+    const Job::Task& task = job.tasks[index];
     ending.last_run = std::max(ending.last_run, task.run);
+    if (task.state == Job::TaskState::kPlaced) ++ending.open[index];
   }
   for (const Job::Task& task : job.tasks) {
     if (task.state == Job::TaskState::kPlaced)
@@ -539,11 +540,22 @@
   }
 }
 
-void JobCoordinator::OnEndingRunEnd(const std::string& id) {
+void JobCoordinator::OnEndingRunEnd(const std::string& id, std::size_t index) {
   const auto ending = this->ending_runs.find(id);
-  if (ending != this->ending_runs.end() && --ending->second.open == 0) {
-    this->ending_runs.erase(ending);
-  }
+  if (ending == this->ending_runs.end()) return;
+  auto& open = ending->second.open;
+  const auto runs_of_task = open.find(index);
+  if (runs_of_task == open.end()) return;
+  if (--runs_of_task->second == 0) open.erase(runs_of_task);
+  if (open.empty()) this->ending_runs.erase(ending);
+}
+
+// Returns whether a task has a run of an earlier submission of its job whose
+// end is not reported yet.
+bool JobCoordinator::HasEndingRun(const Job& job, std::size_t index) const {
+  const auto ending = this->ending_runs.find(job.request.id);
+  return ending != this->ending_runs.end() &&
+         ending->second.open.contains(index);
 }
 
 // Logs the end of a job with its size and the times of its placements. A job
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -82,8 +82,8 @@
 
   /// Describes the runs that jobs with one id had when they ended.
   struct EndingRuns {
-    /// Runs whose end is not reported yet.
-    int open = 0;
+    /// Number of runs whose end is not reported yet, by the task's index.
+    std::map<std::size_t, int> open;
     /// Highest run number of the tasks.
     std::uint64_t last_run = 0;
   };
@@ -108,7 +108,8 @@
   void OnTimer(const std::string& id);
   void Finish(const std::string& id, JobEnd end, const char* cause);
   void StopRuns(const Job& job);
-  void OnEndingRunEnd(const std::string& id);
+  void OnEndingRunEnd(const std::string& id, std::size_t index);
+  bool HasEndingRun(const Job& job, std::size_t index) const;
   void LogEnd(const Job& job, JobEnd end, const char* cause,
               base::Duration retry_after) const;
   int TasksAheadOf(const Job& job) const;
@@ -125,7 +126,7 @@
   /// callers that submit a job again.
   std::map<std::string, RecentAnswer> recent_answers;
   /// Runs of ended jobs, by job id. A task of a copy of the job starts when
-  /// they have ended.
+  /// its earlier runs have ended.
   std::map<std::string, EndingRuns> ending_runs;
   std::uint64_t next_caller = 1;
   bool rejecting = false;
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -62,10 +62,11 @@
 class JobCoordinatorTest : public ::testing::Test {
  protected:
   std::uint64_t Submit(const std::string& id = "0123456789abcdef",
-                       base::Duration estimate = milliseconds(100)) {
+                       base::Duration estimate = milliseconds(100),
+                       int task_count = 1) {
     jobs::JobRequest request;
     request.id = id;
-    request.task_count = 1;
+    request.task_count = task_count;
     request.resources = {1'000, 1, 0};
     request.estimate = estimate;
     catalog::Route route;
@@ -168,6 +169,41 @@
   EXPECT_EQ(this->placer.stops, stops);
 }
 
+// Reports about a run of an earlier submission were applied to the run of its
+// copy, which has the same id and task (soak seed 101).
+TEST_F(JobCoordinatorTest, ReportsOfEarlierSubmissionDoNotAffectPlacedCopy) {
+  const std::uint64_t caller = this->Submit();
+  this->coordinator.Abandon("0123456789abcdef", caller);
+  this->Submit();
+  this->placer.placed[0].on_end(RunOutcome::kStopped);
+  this->clock.Advance(milliseconds(1));
+  ASSERT_EQ(this->placer.placed.size(), 2U);
+  const int stops = this->placer.stops;
+  this->placer.placed[0].on_overdue(seconds(9));
+  this->placer.placed[0].on_end(RunOutcome::kNotRun);
+  this->clock.Advance(milliseconds(1));
+  EXPECT_EQ(this->placer.stops, stops);
+  EXPECT_EQ(this->placer.placed.size(), 2U);
+  EXPECT_TRUE(this->answers.empty());
+}
+
+// A copy whose other tasks could start was rejected, since one run of the
+// earlier submission had not ended in time.
+TEST_F(JobCoordinatorTest, CopyStartsTasksThatHaveNoEndingRun) {
+  const std::uint64_t caller =
+      this->Submit("0123456789abcdef", milliseconds(100), 2);
+  ASSERT_EQ(this->placer.placed.size(), 2U);
+  this->placer.placed[0].on_end(RunOutcome::kDone);
+  this->coordinator.Abandon("0123456789abcdef", caller);
+  this->Submit("0123456789abcdef", milliseconds(100), 2);
+  ASSERT_EQ(this->placer.placed.size(), 3U);
+  this->clock.Advance(milliseconds(500));
+  EXPECT_TRUE(this->answers.empty());
+  this->placer.placed[1].on_end(RunOutcome::kStopped);
+  this->clock.Advance(milliseconds(1));
+  EXPECT_EQ(this->placer.placed.size(), 4U);
+}
+
 // A job whose run could not end in time at any endpoint kept its endpoints
 // until the deadline, while other jobs had none.
 TEST_F(JobCoordinatorTest, JobThatCannotMeetItsDeadlineEndsAtOnce) {
