Stand-in for endpoints: orders outlast a restart unless a test says otherwise

Change: late orders are carried out by a later incarnation by default, as before. Only hosted_fault_test turns this off, and on with HOSTED_LATE_AFTER_RESTART.

--- a/tests/jobs/hosted_fault_test.cc
+++ b/tests/jobs/hosted_fault_test.cc
@@ -249,8 +249,10 @@
 class ConnectionScenario final : public Scenario {
  public:
   explicit ConnectionScenario(std::uint64_t seed)
-      : Scenario(seed, 0.98),
-        callers(this->fleet, [this] { return this->ChooseProcess(); }) {
+      : Scenario(seed, 0.98), callers(this->fleet, [this] {
+          this->fleet.endpoints.SetLateAfterRestart(IsLateAfterRestart());
+          return this->ChooseProcess();
+        }) {
     this->fault_chance = 0.15;
     this->fleet.endpoints.SetFaults(this->CalmFaults());
   }
@@ -270,7 +272,6 @@
   LeasedEndpoints::Faults CalmFaults() const override {
     LeasedEndpoints::Faults faults;
     faults.connection_ends = 0.02;
-    faults.late_after_restart = IsLateAfterRestart();
     return faults;
   }
 
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -239,7 +239,7 @@
   Endpoint& endpoint = found->second;
   if (!this->IsReachable(process_domain, endpoint)) return;
   const bool restarted = endpoint.incarnation != call->incarnation;
-  if (restarted && this->faults.late_after_restart) {
+  if (restarted && this->late_after_restart) {
     handle(endpoint, call);
     return;
   }
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -41,9 +41,6 @@
     /// Orders and answers take up to this time, so that they overtake each
     /// other; 0 for a fixed time.
     base::Duration max_transit{0};
-    /// Whether an order that is carried out late, or whose connection has
-    /// ended, is also carried out by a later incarnation of its endpoint.
-    bool late_after_restart = false;
   };
 
   /// What happens to the connections to an endpoint that crashes.
@@ -93,6 +90,12 @@
 
   void SetFaults(const Faults& new_faults) { this->faults = new_faults; }
 
+  /// Sets whether an order that is carried out late, or whose connection has
+  /// ended, is also carried out by a later incarnation of its endpoint.
+  void SetLateAfterRestart(bool carried_out) {
+    this->late_after_restart = carried_out;
+  }
+
   /// Makes runs of tasks with this payload end as `kind` after `time`.
   void SetTask(const std::string& payload, base::Duration time,
                runs::RunEndKind kind);
@@ -245,6 +248,7 @@
   base::Clock& clock;
   Random& random;
   Faults faults;
+  bool late_after_restart = true;
   std::map<std::string, Endpoint> endpoints;
   /// Ids of the endpoints that replaced others, by address.
   std::map<std::string, std::string> replacements;
