--- a/src/hawthornwheeld/main.cc
+++ b/src/hawthornwheeld/main.cc
@@ -160,7 +160,7 @@
 // Runs before the static initialisers of the program and of its libraries,
 // which take several milliseconds.
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const kBeforeInitialisers)() = IgnoreReloadSignal;
+  gnu::used]] void (*const before_initialisers)() = IgnoreReloadSignal;
 
 int Main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
