Jobs: a task that endpoints refuse takes none from other jobs

Cause: an endpoint that refused a task counted as full for all jobs of that round, and then its capacity was reserved for the refused task.

Change: a refusal excludes the endpoint for that task only; nothing is reserved, and the placement is tried again after 50 ms.

Before: RefusedTaskLeavesEndpointsToOtherJobs, 0 placements for 1. After: it passes.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -46,8 +46,8 @@
 constexpr base::Duration kLeavingRetry = seconds(1);
 constexpr base::Duration kNotReadyRetry = seconds(1);
 // Interval at which the placement of a job is tried again whose caller is not
-// known to wait.
-constexpr base::Duration kConfirmationRetry = milliseconds(50);
+// known to wait, or one of whose tasks all endpoints have refused.
+constexpr base::Duration kPlacementRetry = milliseconds(50);
 
 base::Duration Scale(base::Duration span, double factor) {
   return base::Duration(static_cast<base::Duration::rep>(
@@ -71,6 +71,23 @@
       [](const Candidate& candidate) { return candidate.free.cpu_milli > 0; });
 }
 
+// Chooses an endpoint for a task, without those in `refused`.
+Candidate* ChooseFor(const Job::Task& task,
+                     const std::set<std::string>& refused,
+                     std::vector<Candidate>& candidates,
+                     TaskRequirements requirements) {
+  std::set<std::string> avoid = task.avoid;
+  avoid.insert(refused.begin(), refused.end());
+  requirements.avoid = &avoid;
+  Candidate* candidate = ChooseEndpoint(candidates, requirements);
+  if (candidate == nullptr && task.failed_runs > 0) {
+    // An endpoint where the task failed before is better than none.
+    requirements.avoid = &refused;
+    candidate = ChooseEndpoint(candidates, requirements);
+  }
+  return candidate;
+}
+
 // Returns the time from the arrival of a job to `event` in milliseconds, or -1
 // if it has not happened.
 std::int64_t AgeAt(const Job& job,
@@ -89,7 +106,7 @@
       placer(placer),
       settings(settings),
       placement_timer(clock),
-      confirmation_timer(clock),
+      retry_timer(clock),
       expiry_timer(clock) {
   this->expiry_timer.StartPeriodic(kExpiryInterval,
                                    [this] { this->DropExpiredAnswers(); });
@@ -222,11 +239,17 @@
   for (const JobPointer& job : waiting_jobs) {
     if (!job->IsAwaited()) {
       this->metrics.Count("jobs.unconfirmed_placements");
-      this->confirmation_timer.StartOnce(kConfirmationRetry,
-                                         [this] { this->SchedulePlacement(); });
+      this->RetryPlacement();
+      continue;
+    }
+    const Placement placement = this->PlaceTasks(*job, candidates);
+    if (placement == Placement::kComplete) continue;
+    if (placement == Placement::kRefused) {
+      // The endpoints may accept other tasks, so none is reserved.
+      tasks_waiting = true;
+      this->RetryPlacement();
       continue;
     }
-    if (this->PlaceTasks(*job, candidates)) continue;
     if (!CanMeetDeadline(candidates, this->RequirementsOf(*job))) {
       this->Finish(job->request.id,
                    job->MayHaveRun() ? JobEnd::kInterrupted : JobEnd::kRejected,
@@ -242,6 +265,11 @@
   this->placer.SetTasksWaiting(tasks_waiting);
 }
 
+void JobCoordinator::RetryPlacement() {
+  this->retry_timer.StartOnce(kPlacementRetry,
+                              [this] { this->SchedulePlacement(); });
+}
+
 TaskRequirements JobCoordinator::RequirementsOf(const Job& job) const {
   const base::TimePoint now = this->clock.Now();
   TaskRequirements requirements;
@@ -263,26 +291,27 @@
   return requirements;
 }
 
-bool JobCoordinator::PlaceTasks(Job& job, std::vector<Candidate>& candidates) {
-  TaskRequirements requirements = this->RequirementsOf(job);
+JobCoordinator::Placement JobCoordinator::PlaceTasks(
+    Job& job, std::vector<Candidate>& candidates) {
+  const TaskRequirements requirements = this->RequirementsOf(job);
+  Placement result = Placement::kComplete;
   for (std::size_t index = 0; index < job.tasks.size(); ++index) {
     Job::Task& task = job.tasks[index];
     if (task.state != Job::TaskState::kWaiting) continue;
     if (this->HasEndingRun(job, index)) continue;
-    requirements.avoid = &task.avoid;
-    Candidate* candidate = ChooseEndpoint(candidates, requirements);
-    if (candidate == nullptr && task.failed_runs > 0) {
-      // An endpoint where the task failed before is better than none.
-      requirements.avoid = nullptr;
-      candidate = ChooseEndpoint(candidates, requirements);
-    }
-    if (candidate == nullptr) return false;
-    if (!this->PlaceTask(job, index, *candidate, requirements)) {
-      candidate->free = {};
-      --index;
+    std::set<std::string> refused;
+    bool placed = false;
+    while (!placed) {
+      Candidate* candidate = ChooseFor(task, refused, candidates, requirements);
+      if (candidate == nullptr) break;
+      placed = this->PlaceTask(job, index, *candidate, requirements);
+      if (!placed) refused.insert(std::string(candidate->endpoint));
     }
+    if (placed) continue;
+    if (refused.empty()) return Placement::kNoEndpoint;
+    result = Placement::kRefused;
   }
-  return true;
+  return result;
 }
 
 bool JobCoordinator::PlaceTask(Job& job, std::size_t index,
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -80,6 +80,17 @@
     base::TimePoint ended_at;
   };
 
+  /// Result of the placement of a job's waiting tasks.
+  enum class Placement {
+    /// No task waits for an endpoint.
+    kComplete,
+    /// No endpoint has enough free capacity for a task.
+    kNoEndpoint,
+    /// Endpoints have refused a task, for example since a copy of it is open
+    /// there.
+    kRefused,
+  };
+
   /// Describes the runs that jobs with one id had when they ended.
   struct EndingRuns {
     /// Number of runs whose end is not reported yet, by the task's index.
@@ -92,7 +103,8 @@
   void Begin(JobRequest request, const catalog::Route& route,
              std::uint64_t version, Job::Caller caller);
   void SetTimes(Job& job) const;
-  bool PlaceTasks(Job& job, std::vector<Candidate>& candidates);
+  Placement PlaceTasks(Job& job, std::vector<Candidate>& candidates);
+  void RetryPlacement();
   bool PlaceTask(Job& job, std::size_t index, Candidate& candidate,
                  const TaskRequirements& requirements);
   runs::RunHandlers HandlersFor(Job& job, std::size_t index,
@@ -132,7 +144,7 @@
   bool rejecting = false;
   base::Timer placement_timer;
   /// Repeats the placement while the caller of a job is not known to wait.
-  base::Timer confirmation_timer;
+  base::Timer retry_timer;
   base::Timer expiry_timer;
 };
 
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -41,6 +41,7 @@
   std::vector<Candidate> Candidates() const override { return this->offered; }
   bool Place(const Candidate&, const runs::TaskOrder& order,
              runs::RunHandlers handlers, jobs::PlacedRun* placed) override {
+    if (order.task == this->refused_task) return false;
     *placed = {0, order.endpoint, order.task, order.run};
     this->placed.push_back(std::move(handlers));
     this->endpoints.push_back(order.endpoint);
@@ -56,6 +57,8 @@
   std::vector<runs::RunHandlers> placed;
   std::vector<std::string> endpoints;
   std::vector<std::uint64_t> runs;
+  /// Name of a task that no endpoint accepts.
+  std::string refused_task;
   int stops = 0;
 };
 
@@ -204,6 +207,17 @@
   EXPECT_EQ(this->placer.placed.size(), 4U);
 }
 
+// A task that is refused everywhere, since a copy of it is open, took the
+// endpoints from the other jobs of that moment.
+TEST_F(JobCoordinatorTest, RefusedTaskLeavesEndpointsToOtherJobs) {
+  this->Offer({});
+  this->Submit("00000000000000a1");
+  this->Submit("00000000000000a2");
+  this->placer.refused_task = "00000000000000a1.0.0.0";
+  this->Offer({MakeCandidate("e", 1, 2'000), MakeCandidate("f", 1, 2'000)});
+  EXPECT_EQ(this->placer.placed.size(), 1U);
+}
+
 // A job whose run could not end in time at any endpoint kept its endpoints
 // until the deadline, while other jobs had none.
 TEST_F(JobCoordinatorTest, JobThatCannotMeetItsDeadlineEndsAtOnce) {
