Runs: a list of runs is not newer than now

Cause: the time of a list was taken as the whole wait of its poll. An endpoint that answers early without an end gave a time in the future, and starts went without a further poll for up to 0.3 s, in which the endpoint may restart.

Change: the time is at most that of the answer. EndpointSessionTest and the search over message orders pass as before; no test reaches the case.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -544,7 +544,8 @@
   // The endpoint waits in full unless it has ends to report.
   const base::TimePoint listed =
       reply.ended.empty() ? sent.time + order.wait : sent.time;
-  this->last_list = std::max(this->last_list, listed);
+  this->last_list =
+      std::max(this->last_list, std::min(listed, this->parts.clock.Now()));
   if (confirms) {
     this->recheck_due = false;
     if (this->state != SessionState::kReady) {
