--- a/tests/http/single_delivery_test.cc
+++ b/tests/http/single_delivery_test.cc
@@ -292,5 +292,44 @@
   EXPECT_EQ(proxy.AcceptAll(), 0);
 }
 
+// Guards against an order that is lost or sent twice because its kept
+// connection has ended before the request.
+TEST_F(SingleDeliveryTest, KeptConnectionEndsBeforeRequest) {
+  for (const bool reset : {false, true}) {
+    const int kept = this->OpenConnection();
+    if (reset) {
+      this->server.Reset(kept);
+    } else {
+      this->server.Close(kept);
+    }
+    const Outcome outcome = this->Send("/order");
+    const int connection = this->server.Accept();
+    EXPECT_NE(this->server.WaitForBytes(connection).find("/order"),
+              std::string::npos);
+    this->server.Write(connection, kAnswer);
+    ASSERT_TRUE(WaitFor(outcome));
+    EXPECT_TRUE((*outcome)->HasValue());
+    this->server.Close(connection);
+    EXPECT_EQ(this->BytesOfNext(kSettleMs), "");
+  }
+}
+
+// Guards against a second answer to one request that is taken for the answer to
+// the next order.
+TEST_F(SingleDeliveryTest, SurplusAnswerIsNotTakenForNextAnswer) {
+  const int kept = this->OpenConnection();
+  this->server.Write(kept,
+                     "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}");
+  const Outcome outcome = this->Send("/order");
+  const int connection = this->server.Accept();
+  EXPECT_NE(this->server.WaitForBytes(connection).find("/order"),
+            std::string::npos);
+  this->server.Write(connection, kAnswer);
+  ASSERT_TRUE(WaitFor(outcome));
+  ASSERT_TRUE((*outcome)->HasValue());
+  EXPECT_EQ((**outcome)->status, 200);
+  EXPECT_EQ(this->server.Read(kept), "");
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
