Known red: a refused job whose start is carried out after a restart

HostedRulesTest.JobWithUnansweredStartIsNotRefused fails on this code: the job is answered as rejected (503, "not run") after 80 ms, and its start runs 1.9 s later.

Callers see a refusal that is not true (REFUSED). Evidence: the start of the job is late, its recheck raises the token, the list does not show the run, and the run counts as not_run; the endpoint restarts, knows no token and carries the order out.

--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -350,6 +350,38 @@
   EXPECT_EQ((*answer)->end, JobEnd::kComplete);
 }
 
+// Guards against REFUSED (issue 32): a job was refused as "not run", and an
+// unanswered start of it was carried out after its endpoint had restarted.
+TEST_F(HostedRulesTest, JobWithUnansweredStartIsNotRefused) {
+  this->fleet.AddEndpoint("e", "north");
+  this->fleet.AddProcess("north0", "north");
+  this->fleet.Run(seconds(2));
+  // A run in progress, so that the next start is sent without a list of runs.
+  this->fleet.Submit("north0", kUrgentPath, 1, milliseconds(500));
+  this->fleet.Run(milliseconds(10));
+  LeasedEndpoints::Faults late_orders;
+  late_orders.late = 1;
+  late_orders.min_delay = seconds(2);
+  late_orders.max_delay = seconds(2);
+  this->fleet.endpoints.SetFaults(late_orders);
+  const jobs::JobRequest request = this->fleet.NewRequest(
+      kPath, 1, milliseconds(200), milliseconds(200), RunEndKind::kDone);
+  std::optional<jobs::JobAnswer> answer;
+  this->fleet.Process("north0").relay.Submit(
+      request, [&answer](const jobs::JobAnswer& reply) { answer = reply; });
+  this->fleet.Run(milliseconds(10));
+  this->fleet.endpoints.SetFaults({});
+  // Takes the capacity before the task can be placed again.
+  this->fleet.Submit("north0", kUrgentPath, 1, milliseconds(500));
+  this->fleet.Run(milliseconds(200));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->end, JobEnd::kInterrupted);
+  this->fleet.Run(milliseconds(1'780));
+  this->fleet.endpoints.Restart("e");
+  this->fleet.Run(milliseconds(100));
+  EXPECT_EQ(this->fleet.endpoints.StartsOf(request.payload), 1U);
+}
+
 TEST_F(HostedRulesTest, ConfigurationReachesProcessThatCannotReadTheStore) {
   this->StartTwoDomains();
   this->fleet.store.SetDown("south1", true);
