Jobs: refuse a job only if none of its starts can be carried out any more

Callers saw a 503 ("not run") for a job one of whose tasks ran later (REFUSED).

Cause: a start without an answer counts as not_run when a list of runs under a raised token does not show it. That holds for the endpoint's incarnation only: after a restart the endpoint knows no token, and an order that is still under way is carried out. The job had then been refused on evidence that was no longer valid. The same with the refusal "old" (a run of an earlier submission has been there), and with a copy of a job whose earlier runs are being stopped.

Change: such a run ends as unconfirmed. Its task is placed again as before, so a lost order costs one order; but if the job finds no room, it ends as interrupted (502: the outcome is unknown) instead of rejected. A refusal that the endpoint itself sent, and an order that was never sent, stay not_run. Nothing is rejected or delayed that was served before.

"Job ended." says unconfirmed=true for such a job.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -78,12 +78,23 @@
   bool ended = false;
   /// Whether a run is known to have started.
   bool has_run = false;
+  /// Whether a run may exist that no endpoint shows: a start order without an
+  /// answer, or a run of an earlier submission of the job.
+  bool has_unconfirmed_run = false;
   std::vector<Caller> callers;
   std::unique_ptr<base::Timer> timer;
 
   /// Returns whether a run may have started or may still start.
   bool MayHaveRun() const { return this->has_run || this->placed_tasks > 0; }
 
+  /// Returns how a job that cannot be served ends. It is rejected only if none
+  /// of its tasks has run or can start any more.
+  JobEnd UnservedEnd() const {
+    return this->MayHaveRun() || this->has_unconfirmed_run
+               ? JobEnd::kInterrupted
+               : JobEnd::kRejected;
+  }
+
   /// Returns whether a caller is known to wait still.
   bool IsAwaited() const;
 
--- a/src/libs/jobs/job_answer.h
+++ b/src/libs/jobs/job_answer.h
@@ -18,7 +18,8 @@
   kNotReady,
   /// No route matches the job; no task has run.
   kNoRoute,
-  /// Tasks may have run; they were stopped or lost.
+  /// Tasks may have run; they were stopped or lost, or it is not known that
+  /// they cannot start any more.
   kInterrupted,
   /// As kInterrupted, because the deadline passed.
   kTimedOut,
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -88,6 +88,12 @@
   return candidate;
 }
 
+// Returns whether a placement ended without a run that is known.
+bool IsWithoutRun(RunOutcome outcome) {
+  return outcome == RunOutcome::kNotRun || outcome == RunOutcome::kStaleRun ||
+         outcome == RunOutcome::kUnconfirmed;
+}
+
 // Returns the time from the arrival of a job to `event` in milliseconds, or -1
 // if it has not happened.
 std::int64_t AgeAt(const Job& job,
@@ -170,8 +176,14 @@
     return true;
   }
   if (!this->rejecting) return false;
-  kLog.Info("Job is rejected. job={} cause=\"process is leaving\"", id);
-  caller.respond({JobEnd::kRejected, kLeavingRetry});
+  const bool has_ending_runs = this->ending_runs.contains(id);
+  kLog.Info("Job is rejected. job={} cause=\"process is leaving\" ending={}",
+            id, has_ending_runs);
+  if (has_ending_runs) {
+    caller.respond({JobEnd::kInterrupted, {}});
+  } else {
+    caller.respond({JobEnd::kRejected, kLeavingRetry});
+  }
   return true;
 }
 
@@ -186,6 +198,7 @@
   const auto ending = this->ending_runs.find(job->request.id);
   if (ending != this->ending_runs.end()) {
     for (Job::Task& task : job->tasks) task.run = ending->second.last_run;
+    job->has_unconfirmed_run = true;
   }
   job->nominal_run_time = job->request.estimate;
   job->timer = std::make_unique<base::Timer>(this->clock);
@@ -251,8 +264,7 @@
       continue;
     }
     if (!CanMeetDeadline(candidates, this->RequirementsOf(*job))) {
-      this->Finish(job->request.id,
-                   job->MayHaveRun() ? JobEnd::kInterrupted : JobEnd::kRejected,
+      this->Finish(job->request.id, job->UnservedEnd(),
                    "cannot meet the deadline");
       continue;
     }
@@ -386,10 +398,15 @@
   Job::Task& task = job.tasks[index];
   if (task.state != Job::TaskState::kPlaced || task.run != run) return;
   --job.placed_tasks;
-  const bool refused =
-      outcome == RunOutcome::kNotRun || outcome == RunOutcome::kStaleRun;
-  if (refused) ++job.refused_placements;
-  if (!refused) job.has_run = true;
+  // An endpoint that knows a higher run has had one of an earlier submission.
+  if (outcome == RunOutcome::kUnconfirmed || outcome == RunOutcome::kStaleRun) {
+    job.has_unconfirmed_run = true;
+  }
+  if (IsWithoutRun(outcome)) {
+    ++job.refused_placements;
+  } else {
+    job.has_run = true;
+  }
   if (outcome == RunOutcome::kDone) {
     task.state = Job::TaskState::kDone;
     ++job.done_tasks;
@@ -497,7 +514,7 @@
   if (found == this->jobs.end()) return;
   Job& job = *found->second;
   if (!job.MayHaveRun()) {
-    this->Finish(id, JobEnd::kRejected, "no room in time");
+    this->Finish(id, job.UnservedEnd(), "no room in time");
     return;
   }
   this->Finish(id, JobEnd::kTimedOut, "deadline");
@@ -523,9 +540,7 @@
   std::vector<std::string> ids;
   for (const auto& [id, job] : this->jobs) ids.push_back(id);
   for (const std::string& id : ids) {
-    const bool began = this->jobs[id]->MayHaveRun();
-    this->Finish(id, began ? JobEnd::kInterrupted : JobEnd::kRejected,
-                 "process is stopping");
+    this->Finish(id, this->jobs[id]->UnservedEnd(), "process is stopping");
   }
 }
 
@@ -595,11 +610,11 @@
   const base::TimePoint now = this->clock.Now();
   const std::string size = fmt::format(
       "tasks={} estimate_ms={} cpu_milli={} wait_limit_ms={} "
-      "first_placed_ms={} last_placed_ms={} refused={}",
+      "first_placed_ms={} last_placed_ms={} refused={} unconfirmed={}",
       job.request.task_count, job.request.estimate / milliseconds(1),
       job.request.resources.cpu_milli, AgeAt(job, job.latest_start),
       AgeAt(job, job.first_placed), AgeAt(job, job.last_placed),
-      job.refused_placements);
+      job.refused_placements, job.has_unconfirmed_run);
   const auto age_ms = (now - job.arrival) / milliseconds(1);
   if (end == JobEnd::kComplete) {
     kLog.Info("Job ended. job={} route={} end={} age_ms={} late={} {}",
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -26,7 +26,8 @@
 
 /// Accepts jobs from callers, places their tasks, and answers when the last
 /// task has ended. Rejects a job whose first task finds no free endpoint in
-/// time, before any of its tasks has run.
+/// time, before any of its tasks has run. Such a job ends as interrupted when a
+/// start of it has not been answered, since that may still be carried out.
 class JobCoordinator final : public JobGateway {
  public:
   /// References must outlive the coordinator.
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -655,14 +655,13 @@
       }
       continue;
     }
-    // The endpoint now rejects starts with a lower token, so this start cannot
-    // be carried out any more. One that was accepted around a restart went to
-    // the previous incarnation.
+    // This incarnation now rejects starts with a lower token. A start that was
+    // accepted around a restart went to the previous incarnation.
     const bool unsettled = !run.start_answered || run.overtaken_by_restart;
     if (unsettled && !run.foreign && run.fence < order.target.fence) {
       absent_runs.emplace_back(key, run.overtaken_by_restart
                                         ? RunOutcome::kLost
-                                        : RunOutcome::kNotRun);
+                                        : RunOutcome::kUnconfirmed);
       continue;
     }
     const std::int64_t stop_ms =
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -272,11 +272,12 @@
     const auto found = this->placements.find(end.placement());
     if (found == this->placements.end()) continue;
     if (found->second.incarnation != envelope.sender()) continue;
-    if (static_cast<RunOutcome>(end.outcome()) == RunOutcome::kNotRun) {
+    const auto outcome = static_cast<RunOutcome>(end.outcome());
+    if (outcome == RunOutcome::kNotRun || outcome == RunOutcome::kUnconfirmed) {
       this->refusals[found->second.order.endpoint] = {
           found->second.address, envelope.placement_report().steady_ms()};
     }
-    this->End(end.placement(), static_cast<RunOutcome>(end.outcome()));
+    this->End(end.placement(), outcome);
   }
   for (const wire::PlacementOverdue& overdue :
        envelope.placement_report().overdue()) {
--- a/src/libs/runs/task_order.cc
+++ b/src/libs/runs/task_order.cc
@@ -16,6 +16,8 @@
       return "stopped";
     case RunOutcome::kLost:
       return "lost";
+    case RunOutcome::kUnconfirmed:
+      return "unconfirmed";
   }
   return "unknown";
 }
--- a/src/libs/runs/task_order.h
+++ b/src/libs/runs/task_order.h
@@ -9,8 +9,9 @@
 
 namespace hawthornwheel::runs {
 
-/// Outcome of a run of a placed task. An outcome is reported only once it is
-/// certain. The numbers are sent between processes.
+/// Outcome of a run of a placed task. An outcome is reported only once the run
+/// has ended or is rejected by its endpoint. The numbers are sent between
+/// processes.
 enum class RunOutcome {
   kDone = 1,
   /// The task failed, through its own fault or that of its endpoint.
@@ -24,6 +25,10 @@
   kStopped,
   /// The run was interrupted: its lease expired, or its endpoint was lost.
   kLost,
+  /// The start order was not answered, and the endpoint does not have the run.
+  /// It rejects the order from now on, but only until it restarts, so the order
+  /// may still be carried out. The task may be placed again.
+  kUnconfirmed,
 };
 
 /// Returns the name for logs.
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -275,5 +275,68 @@
   EXPECT_TRUE(this->placer.placed.empty());
 }
 
+// Guards against a refused job one of whose starts is carried out later
+// (REFUSED, issue 32): its endpoint has not answered the order.
+TEST_F(JobCoordinatorTest, JobWithUnconfirmedStartIsNotRejected) {
+  this->Submit();
+  this->Offer({});
+  this->placer.placed.at(0).on_end(RunOutcome::kUnconfirmed);
+  this->clock.Advance(milliseconds(100));
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kInterrupted);
+}
+
+TEST_F(JobCoordinatorTest, JobWhoseStartsWereRefusedIsRejected) {
+  this->Submit();
+  this->Offer({});
+  this->placer.placed.at(0).on_end(RunOutcome::kNotRun);
+  this->clock.Advance(milliseconds(100));
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kRejected);
+}
+
+// A lost answer to one order costs that order: the task is placed again.
+TEST_F(JobCoordinatorTest, TaskWithUnconfirmedStartIsPlacedAgain) {
+  this->Submit();
+  this->placer.placed.at(0).on_end(RunOutcome::kUnconfirmed);
+  this->clock.Advance(milliseconds(1));
+  ASSERT_EQ(this->placer.placed.size(), 2U);
+  this->placer.placed[1].on_end(RunOutcome::kDone);
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kComplete);
+}
+
+// Guards against a refusal of a job that an earlier submission has run
+// (REFUSED, issue 32): its endpoint has ended a run with a higher number.
+TEST_F(JobCoordinatorTest, JobThatEndpointHasRunBeforeIsNotRejected) {
+  this->Submit();
+  this->Offer({});
+  this->placer.placed.at(0).on_end(RunOutcome::kStaleRun);
+  this->clock.Advance(milliseconds(100));
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kInterrupted);
+}
+
+// Guards against a refusal of a job whose earlier submission is being stopped
+// (REFUSED, issue 32).
+TEST_F(JobCoordinatorTest, CopyIsNotRejectedWhileRunsOfJobAreStopped) {
+  const std::uint64_t caller = this->Submit();
+  this->coordinator.Abandon("0123456789abcdef", caller);
+  this->Offer({});
+  this->Submit();
+  this->clock.Advance(milliseconds(100));
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kInterrupted);
+}
+
+TEST_F(JobCoordinatorTest, LeavingProcessDoesNotRejectCopyOfStoppedJob) {
+  const std::uint64_t caller = this->Submit();
+  this->coordinator.Abandon("0123456789abcdef", caller);
+  this->coordinator.RejectNewJobs();
+  this->Submit();
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers[0].end, JobEnd::kInterrupted);
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
