Runs: poll a silent endpoint with the token that it has accepted

Callers could get a second run of a task whose first run counted as lost.

Until then it knew only the token of the late start, and carried that out beside the run of the same task elsewhere. The endpoint was also out of use for these 1.5 s although nobody else had claimed it.

Change: such an endpoint is polled with the token that it accepted before, as while it has runs. The token does not outrank a claim that another process has made meanwhile; that claim ends the session, as before. An endpoint that this process has not held, or that has restarted, is still probed without a token.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -450,20 +450,23 @@
   if (this->polls_in_flight > 0 || this->state == SessionState::kFencedOff)
     return;
   const bool unreachable = this->state == SessionState::kUnreachable;
-  if (unreachable && this->runs.empty()) {
+  if (unreachable && this->runs.empty() && !this->token_confirmed) {
     this->Probe();
     return;
   }
   if (unreachable || this->state == SessionState::kClaiming) {
-    this->Poll(base::Duration{0}, unreachable);
+    this->Poll(base::Duration{0}, unreachable && !this->runs.empty());
     return;
   }
   if (this->runs.empty() && this->seen_end_seq == this->acked_end_seq) return;
   this->Poll(this->PollWait(), false);
 }
 
-// Checks whether the endpoint can be reached, with the fencing token 0, which
-// claims nothing. After a partition, a holder on the other side may still be
+// Checks whether an endpoint that this process has not held yet can be reached,
+// with the fencing token 0, which claims nothing. One that it has held is
+// polled with its token instead: the token does not outrank a later claim of
+// another process, and it rejects the late starts of runs that count as lost.
+// After a partition, a holder on the other side may still be
 // running. The claim therefore waits until the heartbeats of that holder have
 // had time to arrive.
 void EndpointSession::Probe() {
@@ -548,6 +551,7 @@
       std::max(this->last_list, std::min(listed, this->parts.clock.Now()));
   if (confirms) {
     this->recheck_due = false;
+    this->token_confirmed = true;
     if (this->state != SessionState::kReady) {
       this->SetState(SessionState::kReady, "poll was answered");
     }
@@ -777,6 +781,7 @@
   this->entry_outdated =
       this->entry.incarnation_start_ms != 0 &&
       this->entry.incarnation_start_ms != this->incarnation_start_ms;
+  this->token_confirmed = false;
   this->clock_ms = 0;
   this->list_clock_ms = 0;
   this->seen_end_seq = 0;
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -184,6 +184,8 @@
   EndpointHealth health;
   SessionState state = SessionState::kClaiming;
   bool closed = false;
+  /// Whether the endpoint's incarnation has accepted a token of this session.
+  bool token_confirmed = false;
   /// Whether `entry` describes an earlier incarnation of the endpoint. The new
   /// one may be of another kind.
   bool entry_outdated = false;
