Runs: keep what is known of an endpoint's incarnation in one class

Change: IncarnationTracker holds the present incarnation, its clock, its lists, the ends that it reported and the confirmation of the token, and decides which answers count. It clears them at a restart. LeaseExpiry holds the latest end of the leases, which outlasts a restart. SessionState, IsRefusal and OutcomeOf move to fitting files. No behaviour change.

--- a/src/libs/runs/endpoint_orders.cc
+++ b/src/libs/runs/endpoint_orders.cc
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "runs/task_order.h"
+
 namespace hawthornwheel::runs {
 
 const char* NameOf(OrderOutcome outcome) {
@@ -11,4 +13,37 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
+bool IsRefusal(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kFenced:
+    case OrderOutcome::kStaleRun:
+    case OrderOutcome::kExpired:
+    case OrderOutcome::kNoCapacity:
+    case OrderOutcome::kInvalid:
+    case OrderOutcome::kOverloaded:
+      return true;
+    case OrderOutcome::kAccepted:
+    case OrderOutcome::kWrongInstance:
+    case OrderOutcome::kUnanswered:
+      return false;
+  }
+  return false;
+}
+
+RunOutcome OutcomeOf(RunEndKind kind) {
+  switch (kind) {
+    case RunEndKind::kDone:
+      return RunOutcome::kDone;
+    case RunEndKind::kFailed:
+      return RunOutcome::kFailed;
+    case RunEndKind::kStopped:
+      return RunOutcome::kStopped;
+    case RunEndKind::kLeaseExpired:
+    case RunEndKind::kGangMemberEnded:
+    case RunEndKind::kGangNotAssembled:
+      return RunOutcome::kLost;
+  }
+  return RunOutcome::kLost;
+}
+
 }  // namespace hawthornwheel::runs
--- a/src/libs/runs/endpoint_orders.h
+++ b/src/libs/runs/endpoint_orders.h
@@ -9,6 +9,8 @@
 
 namespace hawthornwheel::runs {
 
+enum class RunOutcome;
+
 /// Result of an order to an endpoint.
 enum class OrderOutcome {
   kAccepted,
@@ -34,6 +36,9 @@
 /// Returns the name for logs.
 const char* NameOf(OrderOutcome outcome);
 
+/// Returns whether the endpoint answered that it has not carried out an order.
+bool IsRefusal(OrderOutcome outcome);
+
 /// Holds the destination of an order, the fencing token of its sender and the
 /// time limit for the answer.
 struct OrderTarget {
@@ -98,6 +103,9 @@
   kGangNotAssembled
 };
 
+/// Returns the outcome of a run that has ended in this way.
+RunOutcome OutcomeOf(RunEndKind kind);
+
 /// Describes a run that is in progress at an endpoint.
 struct ActiveRun {
   std::string task;
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -7,6 +7,7 @@
 
 #include "base/logger.h"
 #include "base/metrics.h"
+#include "runs/sent_order.h"
 
 namespace hawthornwheel::runs {
 namespace {
@@ -15,15 +16,6 @@
 
 constexpr base::Logger kLog("endpoint");
 
-// Clocks of endpoints may run 2% slow, so a lease lasts up to 1.02 times as
-// long by the local clock. The margin covers rounding and network delay.
-constexpr int kSlowClockPercent = 102;
-constexpr int kSlowestRatePercent = 98;
-constexpr int kWholePercent = 100;
-constexpr base::Duration kLeaseMargin = milliseconds(30);
-// Time after the last list of runs in which no restart of the endpoint is
-// expected; a restart takes longer.
-constexpr base::Duration kListValidity = milliseconds(50);
 // Failed polls in a row after which the endpoint counts as unreachable.
 constexpr int kMaxPollFailures = 2;
 constexpr base::Duration kMinProbeBackoff = milliseconds(250);
@@ -46,54 +38,6 @@
 constexpr base::Duration kProgressWatchTime = milliseconds(500);
 constexpr base::Duration kProgressPollWait = milliseconds(160);
 
-const char* NameOf(SessionState state) {
-  switch (state) {
-    case SessionState::kClaiming:
-      return "claiming";
-    case SessionState::kReady:
-      return "ready";
-    case SessionState::kUnreachable:
-      return "unreachable";
-    case SessionState::kFencedOff:
-      return "fenced_off";
-  }
-  return "unknown";
-}
-
-// Returns whether the endpoint answered that it has not carried out an order.
-bool IsRefusal(OrderOutcome outcome) {
-  switch (outcome) {
-    case OrderOutcome::kFenced:
-    case OrderOutcome::kStaleRun:
-    case OrderOutcome::kExpired:
-    case OrderOutcome::kNoCapacity:
-    case OrderOutcome::kInvalid:
-    case OrderOutcome::kOverloaded:
-      return true;
-    case OrderOutcome::kAccepted:
-    case OrderOutcome::kWrongInstance:
-    case OrderOutcome::kUnanswered:
-      return false;
-  }
-  return false;
-}
-
-RunOutcome OutcomeOf(RunEndKind kind) {
-  switch (kind) {
-    case RunEndKind::kDone:
-      return RunOutcome::kDone;
-    case RunEndKind::kFailed:
-      return RunOutcome::kFailed;
-    case RunEndKind::kStopped:
-      return RunOutcome::kStopped;
-    case RunEndKind::kLeaseExpired:
-    case RunEndKind::kGangMemberEnded:
-    case RunEndKind::kGangNotAssembled:
-      return RunOutcome::kLost;
-  }
-  return RunOutcome::kLost;
-}
-
 }  // namespace
 
 EndpointSession::EndpointSession(const Parts& parts,
@@ -105,8 +49,7 @@
       on_change(std::move(on_change)),
       fence(
           parts.tokens.NextClaim(parts.clock.WallMilliseconds(), fence_floor)),
-      clock_read(parts.clock.Now()),
-      last_list(parts.clock.Now()),
+      incarnation(parts.clock),
       lease_expiry(parts.clock.Now()),
       poll_timer(parts.clock),
       lease_expiry_timer(parts.clock) {
@@ -124,10 +67,10 @@
 void EndpointSession::UpdateEntry(const catalog::EndpointEntry& new_entry) {
   const bool newer =
       new_entry.incarnation_start_ms >
-      std::max(this->entry.incarnation_start_ms, this->incarnation_start_ms);
+      std::max(this->entry.incarnation_start_ms, this->incarnation.StartMs());
   this->entry = new_entry;
   if (new_entry.incarnation_start_ms == 0 ||
-      new_entry.incarnation_start_ms == this->incarnation_start_ms) {
+      new_entry.incarnation_start_ms == this->incarnation.StartMs()) {
     const bool was_outdated = std::exchange(this->entry_outdated, false);
     if (was_outdated) this->on_change();
   }
@@ -188,8 +131,7 @@
       this->runs.begin(), this->runs.end(),
       [](const auto& item) { return item.second.state == RunState::kHeld; });
   if (has_held) return false;
-  return this->polls_in_flight > 0 ||
-         this->parts.clock.Now() - this->last_list <= kListValidity;
+  return this->polls_in_flight > 0 || this->incarnation.HasRecentList();
 }
 
 void EndpointSession::SendStart(const RunKey& key) {
@@ -207,15 +149,15 @@
   start.task = run.order.task;
   start.run = run.order.run;
   start.payload = run.order.payload;
-  start.lease_until_ms = this->LeaseUntil();
-  this->lease_expiry = std::max(
-      this->lease_expiry,
-      now + this->parts.settings.lease * kSlowClockPercent / kWholePercent +
-          kLeaseMargin);
+  start.lease_until_ms =
+      this->incarnation.LeaseUntil(this->parts.settings.lease);
+  this->lease_expiry.Extend(now, this->parts.settings.lease);
   this->parts.metrics.Count("runs.starts");
   this->parts.orders.Start(
-      start, [this, key, sent = this->MakeSentOrder(),
-              guard = this->callback_guard](const OrderReply& reply) {
+      start,
+      [this, key,
+       sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
+       guard = this->callback_guard](const OrderReply& reply) {
         if (*guard) this->OnStartReply(key, sent, reply);
       });
 }
@@ -253,8 +195,8 @@
 void EndpointSession::OnStartReply(const RunKey& key, const SentOrder& sent,
                                    const OrderReply& reply) {
   if (!this->CheckIncarnation(reply.incarnation_start_ms)) return;
-  this->RecordClock(sent, reply);
-  if (this->ShowsRestart(sent, reply)) this->Recheck();
+  this->incarnation.RecordClock(sent, reply);
+  if (this->incarnation.ShowsRestart(sent, reply)) this->Recheck();
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
   Run& run = found->second;
@@ -340,13 +282,14 @@
   this->parts.metrics.Count("runs.stops");
   this->parts.orders.Stop(
       this->Target(this->parts.settings.answer_time), key.first, key.second,
-      [this, key, sent = this->MakeSentOrder(),
+      [this, key,
+       sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
        guard = this->callback_guard](const OrderReply& reply) {
         if (!*guard || !this->CheckIncarnation(reply.incarnation_start_ms))
           return;
-        this->RecordClock(sent, reply);
+        this->incarnation.RecordClock(sent, reply);
         // The earlier incarnation may have accepted the stop.
-        if (sent.incarnation_start_ms != this->incarnation_start_ms) return;
+        if (!this->incarnation.WasSentToPresent(sent)) return;
         const auto stopped = this->runs.find(key);
         if (stopped == this->runs.end()) return;
         if (stopped->second.state != RunState::kStopping) return;
@@ -393,36 +336,32 @@
   if (raise_fence) this->RaiseFence();
   PollOrder order;
   order.target = this->Target(wait + this->parts.settings.answer_time);
-  order.acked_end_seq = this->seen_end_seq;
+  order.acked_end_seq = this->incarnation.SeenEndSeq();
   order.wait = wait;
   const bool renew =
       std::any_of(this->runs.begin(), this->runs.end(), [](const auto& item) {
         return !item.second.foreign && item.second.state != RunState::kStopping;
       });
-  if (renew && this->clock_ms != 0 && this->failures < kMaxPollFailures) {
-    order.lease_until_ms = this->LeaseUntil();
-    this->lease_expiry = std::max(
-        this->lease_expiry,
-        now + this->parts.settings.lease * kSlowClockPercent / kWholePercent +
-            kLeaseMargin);
+  if (renew && this->incarnation.HasClock() &&
+      this->failures < kMaxPollFailures) {
+    order.lease_until_ms =
+        this->incarnation.LeaseUntil(this->parts.settings.lease);
+    this->lease_expiry.Extend(now, this->parts.settings.lease);
   }
   ++this->polls_in_flight;
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
-      order, [this, order, generation = this->poll_generation,
-              sent = this->MakeSentOrder(),
-              guard = this->callback_guard](const PollReply& reply) {
+      order,
+      [this, order, generation = this->poll_generation,
+       sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
+       guard = this->callback_guard](const PollReply& reply) {
         if (!*guard) return;
         const bool is_current = generation == this->poll_generation;
         if (is_current) --this->polls_in_flight;
         const bool lost = reply.order.outcome == OrderOutcome::kUnanswered;
         if (lost && !is_current) return;
-        // The endpoint was asked after its incarnation was known, so it has
-        // restarted since, with a clock that was set back.
-        const std::int64_t answering = reply.order.incarnation_start_ms;
-        if (answering != 0 && answering < sent.incarnation_start_ms &&
-            sent.incarnation_start_ms == this->incarnation_start_ms) {
-          this->incarnation_start_ms = answering;
+        if (this->incarnation.ObserveSetBack(
+                sent, reply.order.incarnation_start_ms)) {
           this->OnRestart();
           return;
         }
@@ -450,7 +389,8 @@
   if (this->polls_in_flight > 0 || this->state == SessionState::kFencedOff)
     return;
   const bool unreachable = this->state == SessionState::kUnreachable;
-  if (unreachable && this->runs.empty() && !this->token_confirmed) {
+  if (unreachable && this->runs.empty() &&
+      !this->incarnation.TokenConfirmed()) {
     this->Probe();
     return;
   }
@@ -458,7 +398,7 @@
     this->Poll(base::Duration{0}, unreachable && !this->runs.empty());
     return;
   }
-  if (this->runs.empty() && this->seen_end_seq == this->acked_end_seq) return;
+  if (this->runs.empty() && this->incarnation.AllEndsAcknowledged()) return;
   this->Poll(this->PollWait(), false);
 }
 
@@ -496,17 +436,12 @@
     this->PollAgain();
     return;
   }
-  const bool newest = reply.order.clock_ms >= this->list_clock_ms;
-  this->RecordClock(sent, reply.order);
+  this->incarnation.RecordClock(sent, reply.order);
   switch (reply.order.outcome) {
     case OrderOutcome::kAccepted:
-      if (sent.incarnation_start_ms == this->incarnation_start_ms) {
-        this->acked_end_seq =
-            std::max(this->acked_end_seq, order.acked_end_seq);
-      }
+      this->incarnation.RecordAcknowledgement(sent, order.acked_end_seq);
       this->ProcessEnds(reply);
-      if (newest) {
-        this->list_clock_ms = reply.order.clock_ms;
+      if (this->incarnation.RecordList(reply.order)) {
         this->ProcessRunning(order, reply);
       }
       this->OnPollAccepted(order, sent, reply);
@@ -544,14 +479,10 @@
   this->failures = 0;
   this->fence_raises = 0;
   this->lease_expiry_timer.Stop();
-  // The endpoint waits in full unless it has ends to report.
-  const base::TimePoint listed =
-      reply.ended.empty() ? sent.time + order.wait : sent.time;
-  this->last_list =
-      std::max(this->last_list, std::min(listed, this->parts.clock.Now()));
+  this->incarnation.RecordListTime(order, sent, reply);
   if (confirms) {
     this->recheck_due = false;
-    this->token_confirmed = true;
+    this->incarnation.ConfirmToken();
     if (this->state != SessionState::kReady) {
       this->SetState(SessionState::kReady, "poll was answered");
     }
@@ -580,8 +511,8 @@
   if (this->state != SessionState::kUnreachable) {
     this->SetState(SessionState::kUnreachable, reply.cause.c_str());
     this->EndHeld();
-    const base::Duration left = std::max(
-        base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
+    const base::Duration left =
+        this->lease_expiry.TimeLeft(this->parts.clock.Now());
     this->lease_expiry_timer.StartOnce(left, [this] {
       this->EndAllAsLost("lease expired, endpoint does not answer",
                          SettlementEvidence::kLeaseExpired);
@@ -610,7 +541,7 @@
   this->SetState(SessionState::kFencedOff, "higher fencing token");
   this->EndHeld();
   const base::Duration left =
-      std::max(base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
+      this->lease_expiry.TimeLeft(this->parts.clock.Now());
   this->lease_expiry_timer.StartOnce(left, [this] {
     this->EndAllAsLost("fenced off", SettlementEvidence::kLeaseExpired);
   });
@@ -619,8 +550,7 @@
 
 void EndpointSession::ProcessEnds(const PollReply& reply) {
   for (const EndedRun& reported : reply.ended) {
-    if (reported.sequence_number <= this->seen_end_seq) continue;
-    this->seen_end_seq = reported.sequence_number;
+    if (!this->incarnation.RecordEnd(reported.sequence_number)) continue;
     const RunKey key{reported.task, reported.run};
     const auto found = this->runs.find(key);
     if (found == this->runs.end()) continue;
@@ -651,7 +581,7 @@
     if (run.state == RunState::kHeld) continue;
     if (present.contains(key)) {
       run.start_answered = true;
-      run.incarnation_start_ms = this->incarnation_start_ms;
+      run.incarnation_start_ms = this->incarnation.StartMs();
       run.overtaken_by_restart = false;
       if (run.state == RunState::kStarting) {
         run.state = RunState::kRunning;
@@ -735,7 +665,7 @@
         runs::NameOf(settlement->outcome), NameOf(settlement->evidence),
         (this->parts.clock.Now() - settlement->time) / milliseconds(1),
         settlement->order_fence, settlement->fence, list_fence,
-        this->incarnation_start_ms);
+        this->incarnation.StartMs());
   } else {
     kLog.Info(
         "Run of another process is stopped. endpoint={} task={} run={} "
@@ -752,40 +682,29 @@
   this->SendStop(key);
 }
 
+// Returns whether an answer counts, by the incarnation that it names.
 bool EndpointSession::CheckIncarnation(std::int64_t reported_start_ms) {
-  if (reported_start_ms == 0 || reported_start_ms == this->incarnation_start_ms)
-    return true;
-  const bool first = this->incarnation_start_ms == 0;
-  if (reported_start_ms < this->incarnation_start_ms) return false;
-  this->incarnation_start_ms = reported_start_ms;
-  if (first) {
-    // An earlier incarnation may have refused the claim.
-    this->clock_ms = 0;
-    this->entry_outdated = this->entry.incarnation_start_ms != 0 &&
-                           this->entry.incarnation_start_ms < reported_start_ms;
-    return true;
-  }
-  this->OnRestart();
+  switch (this->incarnation.Observe(reported_start_ms)) {
+    case IncarnationTracker::Report::kPresent:
+      return true;
+    case IncarnationTracker::Report::kFirst:
+      this->entry_outdated =
+          this->entry.incarnation_start_ms != 0 &&
+          this->entry.incarnation_start_ms < reported_start_ms;
+      return true;
+    case IncarnationTracker::Report::kRestart:
+      this->OnRestart();
+      return false;
+    case IncarnationTracker::Report::kEarlier:
+      return false;
+  }
   return false;
 }
 
-// The clock of an incarnation does not go back, so it answers an order with a
-// time no earlier than any that was read before the order was sent.
-bool EndpointSession::ShowsRestart(const SentOrder& sent,
-                                   const OrderReply& reply) const {
-  return reply.clock_ms != 0 && reply.clock_ms < sent.clock_ms &&
-         sent.incarnation_start_ms == this->incarnation_start_ms;
-}
-
 void EndpointSession::OnRestart() {
   this->entry_outdated =
       this->entry.incarnation_start_ms != 0 &&
-      this->entry.incarnation_start_ms != this->incarnation_start_ms;
-  this->token_confirmed = false;
-  this->clock_ms = 0;
-  this->list_clock_ms = 0;
-  this->seen_end_seq = 0;
-  this->acked_end_seq = 0;
+      this->entry.incarnation_start_ms != this->incarnation.StartMs();
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
   // Held runs were placed by the entry of the previous incarnation.
   this->EndHeld();
@@ -805,7 +724,7 @@
     kLog.Warning(
         "Endpoint has restarted. endpoint={} incarnation={} lost={} "
         "unsettled={}",
-        this->entry.id, this->incarnation_start_ms, lost.size(),
+        this->entry.id, this->incarnation.StartMs(), lost.size(),
         this->runs.size() - lost.size());
   }
   for (const RunKey& key : lost) {
@@ -821,32 +740,6 @@
   this->on_change();
 }
 
-EndpointSession::SentOrder EndpointSession::MakeSentOrder() const {
-  return {this->fence, this->incarnation_start_ms, this->last_start_number,
-          this->parts.clock.Now(), this->clock_ms};
-}
-
-// Only a list of runs names the incarnation that answers. Any other answer may
-// come from the one that was known when its order was sent.
-void EndpointSession::RecordClock(const SentOrder& sent,
-                                  const OrderReply& reply) {
-  const std::int64_t answering = reply.incarnation_start_ms != 0
-                                     ? reply.incarnation_start_ms
-                                     : sent.incarnation_start_ms;
-  if (answering != this->incarnation_start_ms) return;
-  if (reply.clock_ms == 0 || reply.clock_ms < this->clock_ms) return;
-  this->clock_ms = reply.clock_ms;
-  this->clock_read = this->parts.clock.Now();
-}
-
-std::int64_t EndpointSession::LeaseUntil() const {
-  // The endpoint's clock has reached this at least. A later time would let an
-  // order that is carried out late extend the lease beyond `lease_expiry`.
-  const base::Duration age = (this->parts.clock.Now() - this->clock_read) *
-                             kSlowestRatePercent / kWholePercent;
-  return this->clock_ms + (age + this->parts.settings.lease) / milliseconds(1);
-}
-
 OrderTarget EndpointSession::Target(base::Duration timeout) const {
   return {this->entry.address, this->entry.id, this->fence, timeout};
 }
@@ -873,7 +766,8 @@
         "age_ms={} answered={} order_fence={} fence={} incarnation={}",
         this->entry.id, key.first, key.second, runs::NameOf(outcome),
         NameOf(evidence), (now - run.started) / milliseconds(1),
-        run.start_answered, run.fence, this->fence, this->incarnation_start_ms);
+        run.start_answered, run.fence, this->fence,
+        this->incarnation.StartMs());
     this->settled.Add(key.first, key.second,
                       {outcome, evidence, run.fence, this->fence, now});
   }
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -13,8 +13,11 @@
 #include "runs/endpoint_health.h"
 #include "runs/endpoint_orders.h"
 #include "runs/fencing_token_generator.h"
+#include "runs/incarnation_tracker.h"
+#include "runs/lease_expiry.h"
 #include "runs/run_progress.h"
 #include "runs/run_settings.h"
+#include "runs/session_state.h"
 #include "runs/settled_runs.h"
 #include "runs/task_order.h"
 
@@ -24,17 +27,7 @@
 
 namespace hawthornwheel::runs {
 
-/// State of a session with its endpoint.
-enum class SessionState {
-  /// The endpoint has not yet confirmed the fencing token.
-  kClaiming,
-  /// The endpoint has confirmed the fencing token.
-  kReady,
-  /// Two polls in a row have failed, or the first probe is not answered yet.
-  kUnreachable,
-  /// A higher fencing token is in force: another process holds the endpoint.
-  kFencedOff,
-};
+struct SentOrder;
 
 /// Sends orders to one endpoint under a fencing token, renews the leases of its
 /// runs, and tracks its free resources. Runs whose start may still be carried
@@ -101,17 +94,6 @@
     kStopping,
   };
 
-  /// What was known when an order was sent.
-  struct SentOrder {
-    std::uint64_t fence = 0;
-    std::int64_t incarnation_start_ms = 0;
-    /// Number of the latest start order, this one included.
-    std::uint64_t start_number = 0;
-    base::TimePoint time;
-    /// Latest reading of the endpoint's clock.
-    std::int64_t clock_ms = 0;
-  };
-
   struct Run {
     RunState state = RunState::kStarting;
     TaskOrder order;
@@ -166,10 +148,6 @@
   void Recheck();
   bool HasMissedRecheck() const;
   bool CheckIncarnation(std::int64_t reported_start_ms);
-  bool ShowsRestart(const SentOrder& sent, const OrderReply& reply) const;
-  void RecordClock(const SentOrder& sent, const OrderReply& reply);
-  SentOrder MakeSentOrder() const;
-  std::int64_t LeaseUntil() const;
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
   void Settle(const RunKey& key, RunOutcome outcome,
@@ -184,8 +162,6 @@
   EndpointHealth health;
   SessionState state = SessionState::kClaiming;
   bool closed = false;
-  /// Whether the endpoint's incarnation has accepted a token of this session.
-  bool token_confirmed = false;
   /// Whether `entry` describes an earlier incarnation of the endpoint. The new
   /// one may be of another kind.
   bool entry_outdated = false;
@@ -193,23 +169,8 @@
   std::map<RunKey, Run> runs;
   std::uint64_t last_start_number = 0;
   SettledRuns settled;
-  /// Highest sequence number of an end that was processed.
-  std::uint64_t seen_end_seq = 0;
-  /// Highest sequence number that an accepted poll has acknowledged.
-  std::uint64_t acked_end_seq = 0;
-  /// Start of the endpoint's incarnation in Unix milliseconds; 0 until known.
-  std::int64_t incarnation_start_ms = 0;
-  /// Latest reading of the endpoint's clock in milliseconds, and the local time
-  /// of that reading.
-  std::int64_t clock_ms = 0;
-  base::TimePoint clock_read;
-  /// Endpoint's clock in milliseconds at its newest list of runs.
-  std::int64_t list_clock_ms = 0;
-  /// Earliest time at which the endpoint can have made the last list of runs.
-  base::TimePoint last_list;
-  /// Latest time by the local clock at which the leases expire without a
-  /// further renewal.
-  base::TimePoint lease_expiry;
+  IncarnationTracker incarnation;
+  LeaseExpiry lease_expiry;
   /// Number of polls in flight that were sent since `poll_generation` last
   /// rose.
   int polls_in_flight = 0;
