Runs: keep what is known of one run in a type of its own

Cause: which evidence settles a run (a list that does not show it, a stop, a restart) was decided by fields of a private type within EndpointSession, between other steps.

Change: EndpointRun holds these fields and rules. No behaviour change.

--- /dev/null
+++ b/src/libs/runs/endpoint_run.cc
@@ -0,0 +1,56 @@
+#include "runs/endpoint_run.h"
+
+#include <chrono>
+
+namespace hawthornwheel::runs {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Runs with an estimate of at least kLongEstimate are watched during their
+// first kProgressWatchTime, so that an overdue run is found while there is
+// still time to run its task at another endpoint.
+constexpr base::Duration kLongEstimate = milliseconds(350);
+constexpr base::Duration kProgressWatchTime = milliseconds(500);
+
+}  // namespace
+
+bool EndpointRun::IsWatched(base::TimePoint now) const {
+  return this->order.estimate >= kLongEstimate &&
+         now - this->started < kProgressWatchTime;
+}
+
+void EndpointRun::OnListed(std::int64_t listed_start_ms) {
+  this->start_answered = true;
+  this->incarnation_start_ms = listed_start_ms;
+  this->overtaken_by_restart = false;
+  if (this->state != State::kStarting) return;
+  this->state = State::kRunning;
+  this->timer->Stop();
+}
+
+std::optional<RunOutcome> EndpointRun::OutcomeIfAbsent(
+    std::uint64_t list_fence) const {
+  // This incarnation now rejects starts with a lower token. A start that was
+  // accepted around a restart went to the previous incarnation.
+  const bool unsettled = !this->start_answered || this->overtaken_by_restart;
+  if (!unsettled || this->foreign || this->fence >= list_fence) return {};
+  return this->overtaken_by_restart ? RunOutcome::kLost
+                                    : RunOutcome::kUnconfirmed;
+}
+
+bool EndpointRun::HasStoppedBy(std::int64_t list_clock_ms,
+                               base::Duration stop_time) const {
+  const std::int64_t stop_ms = stop_time / milliseconds(1);
+  return this->state == State::kStopping && this->stop_clock_ms != 0 &&
+         list_clock_ms > this->stop_clock_ms + stop_ms;
+}
+
+bool EndpointRun::OnRestart() {
+  if (this->incarnation_start_ms != 0) return true;
+  this->overtaken_by_restart = true;
+  this->stop_clock_ms = 0;
+  return false;
+}
+
+}  // namespace hawthornwheel::runs
--- /dev/null
+++ b/src/libs/runs/endpoint_run.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "base/timer.h"
+#include "runs/run_progress.h"
+#include "runs/task_order.h"
+
+namespace hawthornwheel::runs {
+
+/// Holds what a session knows about one run at its endpoint.
+struct EndpointRun {
+  enum class State {
+    /// The start order is not sent before the endpoint has listed its runs, so
+    /// that a restart of an idle endpoint is noticed first.
+    kHeld,
+    kStarting,
+    kRunning,
+    kStopping,
+  };
+
+  /// Returns whether the run's progress is read more often.
+  bool IsWatched(base::TimePoint now) const;
+
+  /// Records that a list of runs shows the run, made by the endpoint's
+  /// incarnation of this start in Unix milliseconds.
+  void OnListed(std::int64_t listed_start_ms);
+
+  /// Returns the outcome of a run that is absent from a list under the token
+  /// `list_fence`; nothing if the list does not settle the run.
+  std::optional<RunOutcome> OutcomeIfAbsent(std::uint64_t list_fence) const;
+
+  /// Returns whether a run that is absent from a list must have stopped.
+  /// `list_clock_ms` is the endpoint's clock in milliseconds at the list.
+  bool HasStoppedBy(std::int64_t list_clock_ms, base::Duration stop_time) const;
+
+  /// Records that the endpoint has restarted. Returns whether the run is lost;
+  /// otherwise, either incarnation may have carried out its start.
+  bool OnRestart();
+
+  State state = State::kStarting;
+  TaskOrder order;
+  RunHandlers handlers;
+  /// Whether another process started the run; its resource needs are unknown.
+  bool foreign = false;
+  /// Fencing token of its start order.
+  std::uint64_t fence = 0;
+  /// Number of its start order in this session.
+  std::uint64_t start_number = 0;
+  /// Time at which the start order was sent, or the run was held.
+  base::TimePoint started;
+  /// Time after which its result is of no use to the caller.
+  base::TimePoint deadline;
+  RunProgress progress{{}};
+  bool overdue = false;
+  bool start_answered = false;
+  /// Start of the endpoint's incarnation that has the run, in Unix
+  /// milliseconds; 0 while unknown. An accepted start alone does not tell it.
+  std::int64_t incarnation_start_ms = 0;
+  /// The endpoint restarted while the incarnation was unknown, so either one
+  /// may have carried out the start.
+  bool overtaken_by_restart = false;
+  /// Endpoint's clock in milliseconds when it accepted the stop; 0 before.
+  std::int64_t stop_clock_ms = 0;
+  std::unique_ptr<base::Timer> timer;
+};
+
+}  // namespace hawthornwheel::runs
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -31,11 +31,7 @@
 constexpr int kMaxFenceRaises = 10;
 constexpr std::int64_t kFirstFenceRaiseMs = 1'000;
 
-// Runs with an estimate of at least kLongEstimate are polled with the shorter
-// kProgressPollWait during their first kProgressWatchTime, so that an overdue
-// run is found while there is still time to run its task at another endpoint.
-constexpr base::Duration kLongEstimate = milliseconds(350);
-constexpr base::Duration kProgressWatchTime = milliseconds(500);
+// Wait of a poll while the progress of a run is watched.
 constexpr base::Duration kProgressPollWait = milliseconds(160);
 
 }  // namespace
@@ -580,28 +576,14 @@
   for (auto& [key, run] : this->runs) {
     if (run.state == RunState::kHeld) continue;
     if (present.contains(key)) {
-      run.start_answered = true;
-      run.incarnation_start_ms = this->incarnation.StartMs();
-      run.overtaken_by_restart = false;
-      if (run.state == RunState::kStarting) {
-        run.state = RunState::kRunning;
-        run.timer->Stop();
-      }
+      run.OnListed(this->incarnation.StartMs());
       continue;
     }
-    // This incarnation now rejects starts with a lower token. A start that was
-    // accepted around a restart went to the previous incarnation.
-    const bool unsettled = !run.start_answered || run.overtaken_by_restart;
-    if (unsettled && !run.foreign && run.fence < order.target.fence) {
-      absent_runs.emplace_back(key, run.overtaken_by_restart
-                                        ? RunOutcome::kLost
-                                        : RunOutcome::kUnconfirmed);
-      continue;
-    }
-    const std::int64_t stop_ms =
-        this->parts.settings.stop_time / milliseconds(1);
-    if (run.state == RunState::kStopping && run.stop_clock_ms != 0 &&
-        reply.order.clock_ms > run.stop_clock_ms + stop_ms) {
+    const auto outcome = run.OutcomeIfAbsent(order.target.fence);
+    if (outcome) {
+      absent_runs.emplace_back(key, *outcome);
+    } else if (run.HasStoppedBy(reply.order.clock_ms,
+                                this->parts.settings.stop_time)) {
       stopped_runs.push_back(key);
     }
   }
@@ -643,10 +625,8 @@
 base::Duration EndpointSession::PollWait() const {
   const base::TimePoint now = this->parts.clock.Now();
   const bool watch = std::any_of(
-      this->runs.begin(), this->runs.end(), [now](const auto& item) {
-        return item.second.order.estimate >= kLongEstimate &&
-               now - item.second.started < kProgressWatchTime;
-      });
+      this->runs.begin(), this->runs.end(),
+      [now](const auto& item) { return item.second.IsWatched(now); });
   return watch ? std::min(kProgressPollWait, this->parts.settings.poll_wait)
                : this->parts.settings.poll_wait;
 }
@@ -713,12 +693,7 @@
   // the restart. Its list of runs decides about the runs that no list of the
   // previous incarnation has shown.
   for (auto& [key, run] : this->runs) {
-    if (run.incarnation_start_ms != 0) {
-      lost.push_back(key);
-    } else {
-      run.overtaken_by_restart = true;
-      run.stop_clock_ms = 0;
-    }
+    if (run.OnRestart()) lost.push_back(key);
   }
   if (!this->runs.empty()) {
     kLog.Warning(
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -12,10 +12,10 @@
 #include "catalog/endpoint_entry.h"
 #include "runs/endpoint_health.h"
 #include "runs/endpoint_orders.h"
+#include "runs/endpoint_run.h"
 #include "runs/fencing_token_generator.h"
 #include "runs/incarnation_tracker.h"
 #include "runs/lease_expiry.h"
-#include "runs/run_progress.h"
 #include "runs/run_settings.h"
 #include "runs/session_state.h"
 #include "runs/settled_runs.h"
@@ -84,43 +84,8 @@
 
  private:
   using RunKey = std::pair<std::string, std::uint64_t>;
-
-  enum class RunState {
-    /// The start order is not sent before the endpoint has listed its runs, so
-    /// that a restart of an idle endpoint is noticed first.
-    kHeld,
-    kStarting,
-    kRunning,
-    kStopping,
-  };
-
-  struct Run {
-    RunState state = RunState::kStarting;
-    TaskOrder order;
-    RunHandlers handlers;
-    /// Whether another process started the run; its resource needs are unknown.
-    bool foreign = false;
-    /// Fencing token of its start order.
-    std::uint64_t fence = 0;
-    /// Number of its start order in this session.
-    std::uint64_t start_number = 0;
-    /// Time at which the start order was sent, or the run was held.
-    base::TimePoint started;
-    /// Time after which its result is of no use to the caller.
-    base::TimePoint deadline;
-    RunProgress progress{{}};
-    bool overdue = false;
-    bool start_answered = false;
-    /// Start of the endpoint's incarnation that has the run, in Unix
-    /// milliseconds; 0 while unknown. An accepted start alone does not tell it.
-    std::int64_t incarnation_start_ms = 0;
-    /// The endpoint restarted while the incarnation was unknown, so either one
-    /// may have carried out the start.
-    bool overtaken_by_restart = false;
-    /// Endpoint's clock in milliseconds when it accepted the stop; 0 before.
-    std::int64_t stop_clock_ms = 0;
-    std::unique_ptr<base::Timer> timer;
-  };
+  using Run = EndpointRun;
+  using RunState = EndpointRun::State;
 
   bool IsVerified() const;
   void SendStart(const RunKey& key);
