Runs: tell a start that was not sent from one without an answer

Callers waited up to a second for a task whose endpoint had crashed: the connection was refused, and the run counted as lost only when its lease had expired. Nothing had been sent, so the job could also have been refused truthfully as "not run".

Cause: each call without an answer had the outcome "unknown", also one for which no connection was opened or became free in time.

Change: such a call fails with not_sent; the run of such a start ends as not_run at once and its task is placed again, while the endpoint is polled.

Evidence: EndpointSessionTest.StartThatWasNotSentIsNotRun, OrderContractTest. StartWithoutConnectionIsNotSent and two SingleDeliveryTest of not_sent do not compile or fail without the change.

--- a/src/libs/base/error_kind.cc
+++ b/src/libs/base/error_kind.cc
@@ -44,6 +44,8 @@
               "A task of the job failed at its endpoint."},
     ErrorInfo{kOutcomeUnknown, "outcome_unknown", 502, kMayHaveRun, kNever,
               "A task was started and its outcome is not known."},
+    ErrorInfo{kNotSent, "not_sent", 503, kNotRun, kAfterDelay,
+              "The request could not be sent."},
     ErrorInfo{kNoEndpoint, "no_endpoint", 503, kFromJob, kAfterDelay,
               "No endpoint is left that can serve the job."},
     ErrorInfo{kRetriesExhausted, "retries_exhausted", 503, kFromJob,
--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -27,6 +27,7 @@
   kDeadlineExceeded,
   kTaskFailed,
   kOutcomeUnknown,
+  kNotSent,
   kNoEndpoint,
   kRetriesExhausted,
   kCancelled,
--- a/src/libs/http/async_http_client.cc
+++ b/src/libs/http/async_http_client.cc
@@ -257,14 +257,17 @@
     curl_multi_remove_handle(this->multi, handle);
     this->RecycleHandle(std::move(exchange->handle));
     if (code == CURLE_ABORTED_BY_CALLBACK) {
-      exchange->done(Error(ErrorKind::kOutcomeUnknown,
-                           exchange->sent
-                               ? "the connection ended before the answer"
-                               : "the time limit passed before the request"));
+      exchange->done(exchange->sent
+                         ? Error(ErrorKind::kOutcomeUnknown,
+                                 "the connection ended before the answer")
+                         : Error(ErrorKind::kNotSent,
+                                 "the time limit passed before the request"));
       return;
     }
     if (code != CURLE_OK) {
-      exchange->done(Error(ErrorKind::kOutcomeUnknown, cause));
+      exchange->done(Error(
+          exchange->sent ? ErrorKind::kOutcomeUnknown : ErrorKind::kNotSent,
+          cause));
       return;
     }
     if (!exchange->headers_ended) {
--- a/src/libs/http/async_http_client.h
+++ b/src/libs/http/async_http_client.h
@@ -45,7 +45,9 @@
 
   /// Sends a call, once unless it is repeatable. Passes kOutcomeUnknown to
   /// `done` if there was no complete answer; the server may or may not have
-  /// received the request. `done` is not called after the client is destroyed.
+  /// received the request. Passes kNotSent if no connection could be opened, or
+  /// none became free in time. `done` is not called after the client is
+  /// destroyed.
   void Send(const HttpCall& call, Handler done);
 
  private:
--- a/src/libs/runs/endpoint_orders.cc
+++ b/src/libs/runs/endpoint_orders.cc
@@ -7,13 +7,13 @@
 namespace hawthornwheel::runs {
 
 const char* NameOf(OrderOutcome outcome) {
-  constexpr std::array kNames = {"accepted",       "fenced",     "stale_run",
-                                 "expired",        "no_room",    "invalid",
-                                 "wrong_instance", "overloaded", "unanswered"};
+  constexpr std::array kNames = {
+      "accepted", "fenced",         "stale_run",  "expired",  "no_room",
+      "invalid",  "wrong_instance", "overloaded", "not_sent", "unanswered"};
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
-bool IsRefusal(OrderOutcome outcome) {
+bool IsNotCarriedOut(OrderOutcome outcome) {
   switch (outcome) {
     case OrderOutcome::kFenced:
     case OrderOutcome::kStaleRun:
@@ -21,6 +21,7 @@
     case OrderOutcome::kNoCapacity:
     case OrderOutcome::kInvalid:
     case OrderOutcome::kOverloaded:
+    case OrderOutcome::kNotSent:
       return true;
     case OrderOutcome::kAccepted:
     case OrderOutcome::kWrongInstance:
@@ -30,6 +31,11 @@
   return false;
 }
 
+bool IsUnanswered(OrderOutcome outcome) {
+  return outcome == OrderOutcome::kUnanswered ||
+         outcome == OrderOutcome::kNotSent;
+}
+
 RunOutcome OutcomeOf(RunEndKind kind) {
   switch (kind) {
     case RunEndKind::kDone:
--- a/src/libs/runs/endpoint_orders.h
+++ b/src/libs/runs/endpoint_orders.h
@@ -29,6 +29,8 @@
   kWrongInstance,
   /// The endpoint sheds load and has not carried out the order.
   kOverloaded,
+  /// The order could not be sent, so the endpoint has not received it.
+  kNotSent,
   /// No answer arrived. The order may have been carried out or may still be.
   kUnanswered,
 };
@@ -36,8 +38,12 @@
 /// Returns the name for logs.
 const char* NameOf(OrderOutcome outcome);
 
-/// Returns whether the endpoint answered that it has not carried out an order.
-bool IsRefusal(OrderOutcome outcome);
+/// Returns whether an order is known not to be carried out: the endpoint has
+/// refused it, or it was not sent.
+bool IsNotCarriedOut(OrderOutcome outcome);
+
+/// Returns whether the endpoint has not answered an order.
+bool IsUnanswered(OrderOutcome outcome);
 
 /// Holds the destination of an order, the fencing token of its sender and the
 /// time limit for the answer.
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -205,7 +205,7 @@
         this->entry.id, key.first, key.second, sent.fence,
         runs::NameOf(reply.outcome), reply.cause);
   }
-  if (run.start_answered && IsRefusal(reply.outcome)) {
+  if (run.start_answered && IsNotCarriedOut(reply.outcome)) {
     // The endpoint has listed the run, so it has carried out an earlier
     // delivery of this order.
     if (reply.outcome == OrderOutcome::kFenced && sent.fence == this->fence) {
@@ -250,6 +250,10 @@
       this->poll_timer.StartOnce(kMinProbeBackoff,
                                  [this] { this->PollAgain(); });
       return;
+    case OrderOutcome::kNotSent:
+      this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartNotSent);
+      this->Recheck();
+      return;
     case OrderOutcome::kUnanswered:
       this->Recheck();
       return;
@@ -354,7 +358,7 @@
         if (!*guard) return;
         const bool is_current = generation == this->poll_generation;
         if (is_current) --this->polls_in_flight;
-        const bool lost = reply.order.outcome == OrderOutcome::kUnanswered;
+        const bool lost = IsUnanswered(reply.order.outcome);
         if (lost && !is_current) return;
         if (this->incarnation.ObserveSetBack(
                 sent, reply.order.incarnation_start_ms)) {
@@ -416,7 +420,7 @@
         if (!*guard) return;
         this->probe_in_flight = false;
         if (this->state != SessionState::kUnreachable) return;
-        if (reply.order.outcome == OrderOutcome::kUnanswered) {
+        if (IsUnanswered(reply.order.outcome)) {
           this->OnPollFailed(reply.order);
           return;
         }
--- a/src/libs/runs/settled_runs.cc
+++ b/src/libs/runs/settled_runs.cc
@@ -16,6 +16,8 @@
       return "absent_from_list";
     case SettlementEvidence::kStartRefused:
       return "start_refused";
+    case SettlementEvidence::kStartNotSent:
+      return "start_not_sent";
     case SettlementEvidence::kStopTimePassed:
       return "stop_time_passed";
     case SettlementEvidence::kLeaseExpired:
--- a/src/libs/runs/settled_runs.h
+++ b/src/libs/runs/settled_runs.h
@@ -17,6 +17,8 @@
   kAbsentFromList,
   /// The endpoint has refused the start order.
   kStartRefused,
+  /// The start order could not be sent.
+  kStartNotSent,
   /// The endpoint has accepted a stop, and a list made after the stop time does
   /// not show the run.
   kStopTimePassed,
--- a/tests/http/single_delivery_test.cc
+++ b/tests/http/single_delivery_test.cc
@@ -292,6 +292,38 @@
   EXPECT_EQ(proxy.AcceptAll(), 0);
 }
 
+// An order that was not sent is told apart from one whose outcome is unknown.
+TEST_F(SingleDeliveryTest, CallWithoutConnectionIsNotSent) {
+  std::string address;
+  {
+    const ManualServer closed;
+    address = closed.Address();
+  }
+  http::HttpCall call;
+  call.method = "POST";
+  call.address = address;
+  call.target = "/order";
+  call.timeout = seconds(5);
+  std::optional<base::Result<http::HttpReply>> outcome;
+  this->client.Send(call, [&outcome](base::Result<http::HttpReply> reply) {
+    outcome.emplace(std::move(reply));
+  });
+  ASSERT_TRUE(RunLoopUntil([&outcome] { return outcome.has_value(); }));
+  ASSERT_FALSE(outcome->HasValue());
+  EXPECT_EQ(outcome->GetError().Kind(), base::ErrorKind::kNotSent);
+}
+
+// As above, for an order that waited for a connection.
+TEST_F(SingleDeliveryTest, CallThatWaitedForConnectionIsNotSent) {
+  const Outcome first = this->Send("/first");
+  const int connection = this->server.Accept();
+  this->server.WaitForBytes(connection);
+  const Outcome outcome = this->Send("/order", milliseconds(50));
+  ASSERT_TRUE(WaitFor(outcome));
+  ASSERT_FALSE((*outcome)->HasValue());
+  EXPECT_EQ((*outcome)->GetError().Kind(), base::ErrorKind::kNotSent);
+}
+
 // Guards against an order that is lost or sent twice because its kept
 // connection has ended before the request.
 TEST_F(SingleDeliveryTest, KeptConnectionEndsBeforeRequest) {
--- a/tests/platform/order_contract_test.cc
+++ b/tests/platform/order_contract_test.cc
@@ -109,6 +109,24 @@
                     OrderOutcome::kUnanswered}),
     [](const auto& row) { return row.param.name; });
 
+TEST(OrderContractTest, StartWithoutConnectionIsNotSent) {
+  std::string address;
+  {
+    const RawServer closed([](const std::string&, int) {
+      return RawResponse{"", true};
+    });
+    address = closed.Address();
+  }
+  base::GlibClock clock;
+  platform::OrderClient client(clock);
+  runs::StartOrder order;
+  order.target = {address, "i-1", 7, milliseconds(500)};
+  std::optional<runs::OrderReply> reply;
+  client.Start(order, [&](const runs::OrderReply& answer) { reply = answer; });
+  ASSERT_TRUE(RunLoopUntil([&] { return reply.has_value(); }));
+  EXPECT_EQ(reply->outcome, OrderOutcome::kNotSent);
+}
+
 runs::PollReply PollFor(const RawServer& server) {
   base::GlibClock clock;
   platform::OrderClient client(clock);
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -331,6 +331,30 @@
   EXPECT_EQ(this->ends[0].second, RunOutcome::kUnconfirmed);
 }
 
+// A start that was not sent tells more than one without an answer: its job may
+// be refused (issue 32), and its task is placed again without a recheck.
+TEST_F(EndpointSessionTest, StartThatWasNotSentIsNotRun) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  const auto answer = this->orders.starts[0].answer;
+  runs::OrderReply reply;
+  reply.outcome = OrderOutcome::kNotSent;
+  answer(reply);
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
+  // The endpoint is asked whether it can be reached.
+  const std::size_t polls = this->orders.polls.size();
+  EXPECT_GT(this->orders.polls.back().order.target.fence,
+            this->orders.starts[0].order.target.fence);
+  for (std::size_t i = polls - 1; i <= polls; ++i) {
+    const auto poll_answer = this->orders.polls.at(i).answer;
+    runs::PollReply poll_reply;
+    poll_reply.order.outcome = OrderOutcome::kNotSent;
+    poll_answer(poll_reply);
+  }
+  EXPECT_EQ(this->session->State(), SessionState::kUnreachable);
+}
+
 // Guards against a breach of "at most once" that leaves no trace in logs and
 // metrics: a run that the session counts as ended is listed as in progress.
 TEST_F(EndpointSessionTest, SettledRunThatIsListedIsCounted) {
