Jobs: do not refuse the late copy of a request that is being served

A job or a run could end as "not run" while it went on, if its request arrived twice and the second copy came after the decision on the first was forgotten (0.5 s): the copy was refused as late, and the sender takes a refusal for the outcome of the request.

Change: a request that is being served is not answered again.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -222,7 +222,8 @@
       this->parts.cluster.Board().FindLive(key.address);
   const std::uint64_t now = this->parts.cluster.OwnSteadyMs();
   // A second copy, or the job was abandoned before it arrived.
-  if (!this->settled.try_emplace(key, now).second) {
+  if (this->hosted.contains(key) ||
+      !this->settled.try_emplace(key, now).second) {
     this->parts.metrics.Count("relay.settled_jobs");
     return;
   }
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -202,7 +202,8 @@
     const HostedKey key{address, envelope.sender(), task.placement()};
     // A second copy, or the task was stopped before it arrived. Its process was
     // told then, and an answer to a copy would count for the first request.
-    if (!this->settled.try_emplace(key, now).second) {
+    if (this->hosted.contains(key) ||
+        !this->settled.try_emplace(key, now).second) {
       this->metrics.Count("remote.settled_placements");
       continue;
     }
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -548,6 +548,23 @@
   EXPECT_EQ(this->fleet.endpoints.Starts(), 1U);
 }
 
+// As above, for a copy that arrives when the decision on the first request has
+// been forgotten: it is refused as late (issue 32).
+TEST_F(HostedRulesTest, LateCopyOfPlacementDoesNotEndItsRun) {
+  this->StartTwoDomains();
+  const std::uint64_t placement =
+      this->PlaceAtSouth0("north0", this->OrderAtSouth0("t", seconds(3)));
+  this->fleet.Run(seconds(1));
+  wire::Envelope copy;
+  copy.set_sender_address("north0");
+  copy.set_sender(
+      this->fleet.Process("north0").cluster.Board().self.incarnation());
+  copy.mutable_place()->add_tasks()->set_placement(placement);
+  EXPECT_TRUE(this->fleet.Process("south0").remote.Receive(copy));
+  this->fleet.Run(milliseconds(100));
+  EXPECT_TRUE(this->ends.empty());
+}
+
 // Guards against a task that is started elsewhere while it runs: a process
 // restarts, and takes the reported end of a run that its previous incarnation
 // placed for the end of its own placement with the same number.
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -381,6 +381,28 @@
   EXPECT_EQ(this->Running(), 0U);
 }
 
+// Guards against a job that is refused while it runs (issue 32): a second copy
+// of its message arrives when the decision on the first has been forgotten.
+TEST_F(JobRelayTest, LateCopyOfForwardedJobIsNotAnswered) {
+  constexpr std::uint64_t kFirstNumber = std::uint64_t{1} << 63U;
+  HostedFleet small;
+  small.Publish("1 /l/:1:12000");
+  small.AddEndpoint("e", "north");
+  small.AddProcess("strong", "north", kStrongWeight);
+  small.AddProcess("weak", "north", kWeakWeight);
+  small.Run(seconds(3));
+  const auto answer = small.Submit("weak", kLongTimeoutPath, 1, seconds(3));
+  small.Run(seconds(1));
+  ASSERT_EQ(small.endpoints.Starts(), 1U);
+  wire::Envelope copy;
+  copy.set_sender_address("weak");
+  copy.set_sender(small.Process("weak").cluster.Board().self.incarnation());
+  copy.mutable_handed_job()->set_number(kFirstNumber);
+  EXPECT_TRUE(small.Process("strong").relay.Receive(copy));
+  small.Run(milliseconds(100));
+  EXPECT_FALSE(answer->has_value());
+}
+
 // Guards against a job that is answered while it runs: an entry restarts, and
 // takes an answer for its previous incarnation for that of its own job with the
 // same number.
