Jobs: a job without room counts as rejected for Retry-After

Found by the independent review: a job that ends as interrupted because it found no room (a start of it was not answered) counted as served, so Retry-After of other jobs became shorter when the fleet was full. It counts as rejected.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -556,6 +556,9 @@
   if (end == JobEnd::kRejected) {
     this->advisor.RecordRejected(now);
     answer.retry_after = this->advisor.Advise(now, id);
+  } else if (end == JobEnd::kInterrupted && !job->MayHaveRun()) {
+    // The job found no room, as a rejected one.
+    this->advisor.RecordRejected(now);
   } else {
     this->advisor.RecordServed(now);
   }
