Tests: order search finds late and missed rechecks

Cause: it only noticed a run that was never settled until the end of a play. A list of runs that is skipped delays the settlement until the next list, and most later faults cause a recheck that hides a missing one. The first fault needs three faults close together (a start without an answer, a slow recheck, another start without an answer); the exhaustive part plays two, and the random part spreads its faults evenly.

Change: StartWatch checks the orders and answers of each session: a start without an answer is followed by a poll with a higher token within a bound from the settings, and the first list with a higher token that lacks the start settles it. A session that holds the endpoint must offer no resources that a run uses, and at last one must hold it and none may still try to. A third part plays 10,000 seeds with faults close together. A process can be cut off for 400 or 1500 ms. No check was removed; since there are more events, the seeds of the random part play other orders than before.

--- a/tests/runs/order_search_test.cc
+++ b/tests/runs/order_search_test.cc
@@ -1,16 +1,19 @@
-// Searches the orders of claims, starts, stops, rechecks and restarts at one
-// endpoint, with orders that are delivered, lost, late, or whose connection
+// Searches the orders of claims, starts, stops, rechecks, restarts and cuts at
+// one endpoint, with orders that are delivered, lost, late, or whose connection
 // ends, for one and for two holders.
 //
 // Invariant: a run that its session reports as ended is not at work, and never
 // starts afterwards; no two runs of a task are at work at the same time; the
-// endpoint is never over its capacity; at last every run has been settled, no
-// run goes on, and an idle endpoint is not asked again.
+// endpoint is never over its capacity, and its holder offers no resources that
+// a run uses; a start without an answer is rechecked in time and settled by the
+// first list that shows its outcome; at last every run has been settled, no run
+// goes on, the endpoint is held, and an idle endpoint is not asked again.
 //
 // ORDER_FAULTS sets the number of faults of the exhaustive part, ORDER_CHOICES
 // among how many choices; ORDER_SEEDS and ORDER_FIRST_SEED set the seeds of the
-// random part. The first order that breaks the invariant in some way is printed
-// with its trace.
+// random parts, one with even faults and one with faults close together, as a
+// fault during the recovery from another needs them. The first order that
+// breaks the invariant in some way is printed with its trace.
 //
 // An order that is carried out late by a later incarnation than it was sent to
 // breaks the invariant; this is open (KNOWN-RED.txt, soak seed 1). Such
@@ -29,9 +32,12 @@
 namespace {
 
 constexpr std::uint64_t kDefaultSeeds = 3'000;
+constexpr std::uint64_t kDefaultBurstSeeds = 10'000;
 constexpr std::uint64_t kDefaultFaults = 2;
 constexpr std::uint64_t kDefaultChoices = 20;
 constexpr double kDeviation = 0.12;
+constexpr double kBurstStart = 0.04;
+constexpr Choices::Burst kBurst = {.length = 8, .deviation = 0.4};
 constexpr std::size_t kMaxTraceLines = 200;
 
 std::uint64_t NumberFrom(const char* variable, std::uint64_t fallback) {
@@ -137,6 +143,16 @@
   this->Summarize();
 }
 
+TEST_P(OrderSearchTest, FaultsCloseTogetherKeepTheInvariant) {
+  const std::uint64_t first = NumberFrom("ORDER_FIRST_SEED", 1);
+  const std::uint64_t count = NumberFrom("ORDER_SEEDS", kDefaultBurstSeeds);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    this->Play(Choices(seed, kBurstStart, kBurst),
+               fmt::format("burst of seed {}", seed));
+  }
+  this->Summarize();
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Setups, OrderSearchTest,
     ::testing::Values(OrderWorld::Setup{false, false, false},
--- a/tests/support/model_endpoint.h
+++ b/tests/support/model_endpoint.h
@@ -53,6 +53,8 @@
   bool IsAtWork(const RunKey& key) const { return this->runs.contains(key); }
   std::size_t RunCount() const { return this->runs.size(); }
   std::int64_t UsedCpu() const;
+  /// Highest fencing token that this incarnation has seen.
+  std::uint64_t Fence() const { return this->fence; }
   /// Returns another run of the task that is at work, or 0.
   std::uint64_t OtherRunOf(const RunKey& key) const;
   /// Start of the incarnation in Unix milliseconds.
--- a/tests/support/model_orders.cc
+++ b/tests/support/model_orders.cc
@@ -41,6 +41,9 @@
     {"answer after 140 ms", true, kOneWayDelay, false, true, milliseconds(140)},
 }};
 
+constexpr Fate kCutFate = {"cut off", false, kOneWayDelay,
+                           false,     false, kOneWayDelay};
+
 std::string Describe(const runs::OrderReply& reply) {
   return fmt::format("{} clock={}", runs::NameOf(reply.outcome),
                      reply.clock_ms);
@@ -64,8 +67,10 @@
     const std::string& what, base::Duration timeout,
     std::function<void(const Reply&)> done,
     std::function<void(const ModelEndpoint::Answer<Reply>&)> execute) {
-  const Fate& fate = kFates[static_cast<std::size_t>(
-      this->choices.Choose(static_cast<int>(kFates.size())))];
+  const Fate& fate = this->IsCut()
+                         ? kCutFate
+                         : kFates[static_cast<std::size_t>(this->choices.Choose(
+                               static_cast<int>(kFates.size())))];
   if (this->trace) this->trace(what + ": " + fate.name);
   const auto run_in_process = this->process_clock.GetRunner();
   const auto answered = std::make_shared<bool>(false);
@@ -87,19 +92,19 @@
       this->endpoint.IsUp() ? this->endpoint.IncarnationStart() : 0;
   this->clock.StartTimer(
       fate.delay, [this, what, &fate, answer, fail, execute, incarnation] {
+        const bool late = fate.delay > kOneWayDelay;
+        if (this->IsCut() && !late) return;
         if (!this->endpoint.IsUp()) {
           this->clock.StartTimer(kOneWayDelay, fail);
           return;
         }
-        if (this->trace && fate.delay > kOneWayDelay) {
-          this->trace(what + " arrives");
-        }
+        if (this->trace && late) this->trace(what + " arrives");
         this->carries_earlier_order =
             incarnation != this->endpoint.IncarnationStart();
         execute([this, &fate, answer](const std::optional<Reply>& reply) {
           if (!fate.answered) return;
-          this->clock.StartTimer(fate.answer_delay, [answer, reply] {
-            answer(reply.value_or(Reply{}));
+          this->clock.StartTimer(fate.answer_delay, [this, answer, reply] {
+            if (!this->IsCut()) answer(reply.value_or(Reply{}));
           });
         });
         this->carries_earlier_order = false;
--- a/tests/support/model_orders.h
+++ b/tests/support/model_orders.h
@@ -34,6 +34,10 @@
   void Poll(const runs::PollOrder& order,
             std::function<void(const runs::PollReply&)> done) override;
 
+  /// Loses the orders and answers that would arrive within `span`, without the
+  /// connections ending. Orders that are already late still arrive.
+  void Cut(base::Duration span) { this->cut_end = this->clock.Now() + span; }
+
   /// Whether the order that is being carried out was sent to an earlier
   /// incarnation.
   bool CarriesEarlierOrder() const { return this->carries_earlier_order; }
@@ -41,6 +45,7 @@
   std::uint64_t Polls() const { return this->polls; }
 
  private:
+  bool IsCut() const { return this->clock.Now() < this->cut_end; }
   template <typename Reply>
   void Send(const std::string& what, base::Duration timeout,
             std::function<void(const Reply&)> done,
@@ -51,6 +56,7 @@
   ModelEndpoint& endpoint;
   Choices& choices;
   std::function<void(const std::string&)> trace;
+  base::TimePoint cut_end;
   bool carries_earlier_order = false;
   std::uint64_t polls = 0;
 };
--- a/tests/support/order_world.cc
+++ b/tests/support/order_world.cc
@@ -39,6 +39,8 @@
   kClaimBySecond,
   kShortPause,
   kLongPause,
+  kShortCut,
+  kLongCut,
   kEventCount,
 };
 
@@ -53,6 +55,14 @@
               ? [&world, name](
                     const std::string& text) { world.Note(name + ": " + text); }
               : std::function<void(const std::string&)>{}),
+      watch(this->clock, this->orders, world.settings,
+            {[this] {
+               const SessionState state = this->session->State();
+               return state == SessionState::kReady ||
+                      state == SessionState::kClaiming;
+             },
+             [&world, this] { world.OnList(*this); },
+             [&world](const std::string& text) { world.Violate(text); }}),
       tokens(name),
       claim_at(world.clock.Now()) {}
 
@@ -106,8 +116,9 @@
 void OrderWorld::Claim(Process& process) {
   if (process.session) return;
   this->Note(process.name + ": claims");
+  process.watch.OnClaim();
   process.session = std::make_unique<EndpointSession>(
-      EndpointSession::Parts{process.clock, process.orders, process.metrics,
+      EndpointSession::Parts{process.clock, process.watch, process.metrics,
                              this->settings, process.tokens},
       this->entry, process.last_fence, EndpointSession::ClaimMode::kAtOnce,
       [] {});
@@ -174,7 +185,9 @@
   order.estimate = milliseconds(100);
   order.time_left = seconds(60);
   runs::RunHandlers handlers;
-  handlers.on_end = [this, index, run = task.run](RunOutcome outcome) {
+  handlers.on_end = [this, &process, index,
+                     run = task.run](RunOutcome outcome) {
+    process.watch.OnEnd(this->tasks[index].name, run);
     this->OnEnd(index, run, outcome);
   };
   // The session may end the run before Start() returns.
@@ -233,6 +246,24 @@
   }
 }
 
+// A session that holds the endpoint offers no resources that a run is using.
+void OrderWorld::OnList(const Process& process) {
+  if (!process.session) return;
+  const EndpointSession& session = *process.session;
+  if (session.State() != SessionState::kReady ||
+      session.Fence() != this->endpoint.Fence() || !this->endpoint.IsUp()) {
+    return;
+  }
+  const std::int64_t free = session.Free().cpu_milli;
+  if (free + this->endpoint.UsedCpu() <= kCapacity) return;
+  if (std::any_of(
+          this->overtaken_runs.begin(), this->overtaken_runs.end(),
+          [this](const RunKey& key) { return this->endpoint.IsAtWork(key); })) {
+    this->is_open = true;
+  }
+  this->Violate(process.name + " offers resources that a run is using");
+}
+
 void OrderWorld::PlayEvent(int event) {
   switch (event) {
     case kRestartClosed:
@@ -251,6 +282,10 @@
       return this->Pause(0, milliseconds(300));
     case kLongPause:
       return this->Pause(0, milliseconds(3'000));
+    case kShortCut:
+      return this->Cut(0, milliseconds(400));
+    case kLongCut:
+      return this->Cut(0, milliseconds(1'500));
     default:
       return;
   }
@@ -275,10 +310,18 @@
   process.clock.Pause();
   this->clock.StartTimer(span, [this, &process] {
     this->Note(process.name + ": resumes");
+    process.watch.OnResume();
     process.clock.Resume();
   });
 }
 
+void OrderWorld::Cut(std::size_t index, base::Duration span) {
+  Process& process = *this->processes[index];
+  this->Note(fmt::format("{}: is cut off for {} ms", process.name,
+                         span / milliseconds(1)));
+  process.orders.Cut(span);
+}
+
 void OrderWorld::StopLatest() {
   for (std::size_t i = this->next_task; i > 0; --i) {
     const Task& task = this->tasks[i - 1];
@@ -307,13 +350,21 @@
     this->Violate(
         fmt::format("{} polls of the idle endpoint", this->Polls() - polls));
   }
+  bool held = false;
   for (const auto& process : this->processes) {
     if (!process->session) continue;
+    const SessionState state = process->session->State();
+    if (state == SessionState::kReady) held = true;
+    if (state == SessionState::kClaiming ||
+        state == SessionState::kUnreachable) {
+      this->Violate(process->name + " never gets the endpoint");
+    }
     const bool ready = process->session->State() == SessionState::kReady;
     if (ready && process->session->Free().cpu_milli != kCapacity) {
       this->Violate(process->name + " counts runs that do not exist");
     }
   }
+  if (!held) this->Violate("no process holds the endpoint");
 }
 
 std::uint64_t OrderWorld::Polls() const {
--- a/tests/support/order_world.h
+++ b/tests/support/order_world.h
@@ -15,6 +15,7 @@
 #include "support/model_endpoint.h"
 #include "support/model_orders.h"
 #include "support/process_clock.h"
+#include "support/start_watch.h"
 
 namespace hawthornwheel::testing {
 
@@ -57,6 +58,7 @@
     std::string name;
     ProcessClock clock;
     ModelOrders orders;
+    StartWatch watch;
     base::Metrics metrics;
     runs::FencingTokenGenerator tokens;
     std::uint64_t last_fence = 0;
@@ -80,10 +82,12 @@
   void TryPlace(std::size_t index);
   bool PlaceAt(Process& process, std::size_t index);
   void OnEnd(std::size_t index, std::uint64_t run, runs::RunOutcome outcome);
+  void OnList(const Process& process);
   void OnStart(const RunKey& key);
   void PlayEvent(int event);
   void Restart(base::Duration down, bool closes);
   void Pause(std::size_t process, base::Duration span);
+  void Cut(std::size_t process, base::Duration span);
   void StopLatest();
   void CheckEnd();
   void Violate(const std::string& text);
