Tests: order search with leases that count from the arrival

What the search missed: a start that is carried out late is refused by its lease in the model, so nothing showed whether fencing tokens alone would protect.

Change: two setups (one and two claims) in which the endpoint grants a full lease from the arrival of each order on and refuses none as expired.

--- a/tests/runs/order_search_test.cc
+++ b/tests/runs/order_search_test.cc
@@ -45,6 +45,11 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+std::string NameOf(const ::testing::TestParamInfo<OrderWorld::Setup>& row) {
+  return std::string(row.param.two_claims ? "TwoClaims" : "OneClaim") +
+         (row.param.slow_clock ? "SlowClock" : "");
+}
+
 class OrderSearchTest : public ::testing::TestWithParam<OrderWorld::Setup> {
  protected:
   void SetUp() override { base::SetLogLevel(base::LogLevel::kError); }
@@ -155,14 +160,20 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Setups, OrderSearchTest,
-    ::testing::Values(OrderWorld::Setup{false, false, false},
-                      OrderWorld::Setup{true, false, false},
-                      OrderWorld::Setup{false, true, false},
-                      OrderWorld::Setup{true, true, false}),
-    [](const auto& row) {
-      return std::string(row.param.two_claims ? "TwoClaims" : "OneClaim") +
-             (row.param.slow_clock ? "SlowClock" : "");
-    });
+    ::testing::Values(OrderWorld::Setup{},
+                      OrderWorld::Setup{.two_claims = true},
+                      OrderWorld::Setup{.slow_clock = true},
+                      OrderWorld::Setup{.two_claims = true,
+                                        .slow_clock = true}),
+    NameOf);
+
+// An order that is carried out late holds its whole lease from then on.
+INSTANTIATE_TEST_SUITE_P(
+    LeaseOnArrival, OrderSearchTest,
+    ::testing::Values(OrderWorld::Setup{.lease_on_arrival = true},
+                      OrderWorld::Setup{.two_claims = true,
+                                        .lease_on_arrival = true}),
+    NameOf);
 
 }  // namespace
 }  // namespace hawthornwheel::testing
--- a/tests/support/model_endpoint.cc
+++ b/tests/support/model_endpoint.cc
@@ -90,7 +90,9 @@
   const OrderOutcome admitted = this->Admit(order.target);
   if (admitted != OrderOutcome::kAccepted) return admitted;
   const RunKey key{order.task, order.run};
-  if (order.lease_until_ms <= this->ClockMs()) return OrderOutcome::kExpired;
+  if (!this->grants_on_arrival && order.lease_until_ms <= this->ClockMs()) {
+    return OrderOutcome::kExpired;
+  }
   this->RenewLease(order.lease_until_ms);
   if (this->runs.contains(key)) return OrderOutcome::kAccepted;
   const auto ended_run = this->highest_ended.find(order.task);
@@ -198,8 +200,10 @@
 
 void ModelEndpoint::RenewLease(std::int64_t until_ms) {
   const std::int64_t now = this->ClockMs();
-  this->lease_end_ms =
-      std::max(this->lease_end_ms, std::min(until_ms, now + kMaxLeaseMs));
+  const std::int64_t latest = now + kMaxLeaseMs;
+  const std::int64_t granted =
+      this->grants_on_arrival ? latest : std::min(until_ms, latest);
+  this->lease_end_ms = std::max(this->lease_end_ms, granted);
   this->clock.CancelTimer(this->lease_timer);
   this->lease_timer =
       this->clock.StartTimer(this->LocalTime(this->lease_end_ms - now), [this] {
--- a/tests/support/model_endpoint.h
+++ b/tests/support/model_endpoint.h
@@ -34,6 +34,11 @@
   ModelEndpoint(ManualClock& clock, std::string id, bool slow_clock,
                 std::function<void(const RunKey&)> on_start);
 
+  /// Grants each lease from the arrival of its order on, however late that is.
+  /// By PROTOCOL.md, `untilMs` is a time on its clock and a late start is
+  /// refused. Without that, only fencing tokens protect.
+  void GrantLeasesOnArrival() { this->grants_on_arrival = true; }
+
   void SetTask(const std::string& name, const Task& task) {
     this->tasks[name] = task;
   }
@@ -84,6 +89,7 @@
   ManualClock& clock;
   std::string id;
   bool slow_clock = false;
+  bool grants_on_arrival = false;
   std::function<void(const RunKey&)> on_start;
   std::map<std::string, Task> tasks;
   base::TimePoint start_time;
--- a/tests/support/order_world.cc
+++ b/tests/support/order_world.cc
@@ -72,6 +72,7 @@
       endpoint(this->clock, "e", setup.slow_clock,
                [this](const RunKey& key) { this->OnStart(key); }),
       reconcile_timer(this->clock) {
+  if (setup.lease_on_arrival) this->endpoint.GrantLeasesOnArrival();
   this->entry.id = "e";
   this->entry.address = "10.0.0.1:1";
   this->entry.capacity = {kCapacity, 1'000, 0};
--- a/tests/support/order_world.h
+++ b/tests/support/order_world.h
@@ -28,6 +28,8 @@
     /// A second process claims the endpoint within 1 ms of the first.
     bool two_claims = false;
     bool slow_clock = false;
+    /// The endpoint grants leases from the arrival of their orders on.
+    bool lease_on_arrival = false;
     /// Whether a trace of the events is kept.
     bool traced = false;
   };
