Tests: a run that ended as not_run never starts, not even after a restart

What the search missed: a start of a run that its session had reported as kNotRun counted as open when a later incarnation carried it out, and did not fail the test.

Cause: the class of open violations is told by the start alone, not by what the caller had been told. Since a run without an answer ends as kUnconfirmed, so kNotRun must hold for every order.

Change: such a start is recorded as a violation always, never as an open one.

--- a/tests/support/order_world.cc
+++ b/tests/support/order_world.cc
@@ -205,6 +205,7 @@
   this->Note(
       fmt::format("{}/{} ended as {}", key.first, run, runs::NameOf(outcome)));
   this->ended_runs.insert(key);
+  if (outcome == RunOutcome::kNotRun) this->refused_runs.insert(key);
   if (this->endpoint.IsAtWork(key)) {
     if (this->overtaken_runs.contains(key)) this->is_open = true;
     this->Violate(fmt::format("{}/{} counts as {} while it is at work",
@@ -222,6 +223,12 @@
 
 void OrderWorld::OnStart(const RunKey& key) {
   this->Note(fmt::format("{}/{} starts", key.first, key.second));
+  // Such a run must not start even after a restart of the endpoint.
+  if (this->refused_runs.contains(key)) {
+    this->Record(fmt::format("{}/{} starts though it ended as not_run",
+                             key.first, key.second),
+                 this->violations);
+  }
   const bool earlier = std::any_of(
       this->processes.begin(), this->processes.end(),
       [](const auto& item) { return item->orders.CarriesEarlierOrder(); });
@@ -375,8 +382,13 @@
 }
 
 void OrderWorld::Violate(const std::string& text) {
+  this->Record(text, this->is_open ? this->open_violations : this->violations);
+}
+
+void OrderWorld::Record(const std::string& text,
+                        std::vector<std::string>& list) {
   this->Note("VIOLATION: " + text);
-  (this->is_open ? this->open_violations : this->violations).push_back(text);
+  list.push_back(text);
 }
 
 void OrderWorld::Note(const std::string& text) {
--- a/tests/support/order_world.h
+++ b/tests/support/order_world.h
@@ -44,7 +44,8 @@
   }
   /// Violations from the first one on that a start has caused which was sent to
   /// an earlier incarnation of the endpoint, or while it was down, and which a
-  /// later one has carried out: it knows neither fencing token nor lease.
+  /// later one has carried out: it knows neither fencing token nor lease. A
+  /// start of a run that has ended as kNotRun never counts among them.
   const std::vector<std::string>& OpenViolations() const {
     return this->open_violations;
   }
@@ -93,6 +94,7 @@
   void StopLatest();
   void CheckEnd();
   void Violate(const std::string& text);
+  void Record(const std::string& text, std::vector<std::string>& list);
   void Note(const std::string& text);
 
   ManualClock clock;
@@ -105,6 +107,8 @@
   /// Whether a violation of the known cause has occurred.
   bool is_open = false;
   std::set<RunKey> ended_runs;
+  /// Runs that have ended as kNotRun.
+  std::set<RunKey> refused_runs;
   /// Runs whose start was sent to an earlier incarnation than the one that has
   /// carried it out.
   std::set<RunKey> overtaken_runs;
