--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -389,20 +389,24 @@
   if (this->polls_in_flight > 0 || this->state == SessionState::kFencedOff)
     return;
   const bool unreachable = this->state == SessionState::kUnreachable;
-  if (unreachable && this->runs.empty()) {
+  if (unreachable && this->runs.empty() &&
+      !this->incarnation.TokenConfirmed()) {
     this->Probe();
     return;
   }
   if (unreachable || this->state == SessionState::kClaiming) {
-    this->Poll(base::Duration{0}, unreachable);
+    this->Poll(base::Duration{0}, unreachable && !this->runs.empty());
     return;
   }
   if (this->runs.empty() && this->incarnation.AllEndsAcknowledged()) return;
   this->Poll(this->PollWait(), false);
 }
 
-// Checks whether the endpoint can be reached, with the fencing token 0, which
-// claims nothing. After a partition, a holder on the other side may still be
+// Checks whether an endpoint that this process has not held yet can be reached,
+// with the fencing token 0, which claims nothing. One that it has held is
+// polled with its token instead: the token does not outrank a later claim of
+// another process, and it rejects the late starts of runs that count as lost.
+// After a partition, a holder on the other side may still be
 // running. The claim therefore waits until the heartbeats of that holder have
 // had time to arrive.
 void EndpointSession::Probe() {
@@ -478,6 +482,7 @@
   this->incarnation.RecordListTime(order, sent, reply);
   if (confirms) {
     this->recheck_due = false;
+    this->incarnation.ConfirmToken();
     if (this->state != SessionState::kReady) {
       this->SetState(SessionState::kReady, "poll was answered");
     }
--- a/src/libs/runs/incarnation_tracker.cc
+++ b/src/libs/runs/incarnation_tracker.cc
@@ -124,6 +124,7 @@
 
 void IncarnationTracker::Restart(std::int64_t new_start_ms) {
   this->start_ms = new_start_ms;
+  this->token_confirmed = false;
   this->clock_ms = 0;
   this->list_clock_ms = 0;
   this->seen_end_seq = 0;
--- a/src/libs/runs/incarnation_tracker.h
+++ b/src/libs/runs/incarnation_tracker.h
@@ -12,9 +12,9 @@
 struct SentOrder;
 
 /// Tracks the present incarnation of one endpoint and what it has shown of
-/// itself: its clock, its lists of runs and the ends that it reported. Evidence
-/// of an earlier incarnation does not count, and a restart clears what is
-/// known.
+/// itself: its clock, its lists of runs, the ends that it reported, and whether
+/// it has accepted a fencing token. Evidence of an earlier incarnation does not
+/// count, and a restart clears what is known.
 class IncarnationTracker {
  public:
   /// What an answer says about the incarnation that sent it.
@@ -98,12 +98,17 @@
     return this->seen_end_seq == this->acked_end_seq;
   }
 
+  /// Records that the present incarnation has accepted a token of the session.
+  void ConfirmToken() { this->token_confirmed = true; }
+  bool TokenConfirmed() const { return this->token_confirmed; }
+
  private:
   void Restart(std::int64_t new_start_ms);
 
   const base::Clock& clock;
   /// Start of the present incarnation in Unix milliseconds; 0 until known.
   std::int64_t start_ms = 0;
+  bool token_confirmed = false;
   /// Latest reading of the endpoint's clock in milliseconds, and the local time
   /// of that reading.
   std::int64_t clock_ms = 0;
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -628,6 +628,51 @@
   EXPECT_EQ(this->ends.size(), 2U);
 }
 
+// Guards against a start that is carried out after its run has counted as lost
+// (issue 32): an endpoint that was silent until the lease had expired was asked
+// without a token for 1.5 s after it had answered again.
+TEST_F(EndpointSessionTest, LateStartIsRejectedOnceSilentEndpointAnswers) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  EXPECT_GT(this->orders.polls.back().order.target.fence,
+            this->orders.starts[0].order.target.fence);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  EXPECT_EQ(this->session->State(), SessionState::kReady);
+}
+
+// The token of a process that was cut off does not outrank the claim that
+// another process made meanwhile.
+TEST_F(EndpointSessionTest, SilentEndpointThatWasClaimedIsGivenUp) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  const std::uint64_t later_claim =
+      runs::FencingTokenGenerator("process#2")
+          .NextClaim(this->clock.WallMilliseconds(), 0);
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  EXPECT_LT(this->orders.polls.back().order.target.fence, later_claim);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kFenced);
+  EXPECT_EQ(this->session->State(), SessionState::kFencedOff);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
--- a/tests/runs/incarnation_tracker_test.cc
+++ b/tests/runs/incarnation_tracker_test.cc
@@ -37,9 +37,11 @@
     this->tracker.RecordList(ReplyAt(1'000, start_ms));
     this->tracker.RecordEnd(5);
     this->tracker.RecordAcknowledgement(sent, 4);
+    this->tracker.ConfirmToken();
   }
 
   void ExpectNothingKnown() {
+    EXPECT_FALSE(this->tracker.TokenConfirmed());
     EXPECT_FALSE(this->tracker.HasClock());
     EXPECT_EQ(this->tracker.SeenEndSeq(), 0u);
     EXPECT_TRUE(this->tracker.AllEndsAcknowledged());
@@ -83,6 +85,7 @@
   this->FillIncarnation(7);
   EXPECT_EQ(this->tracker.Observe(6), Report::kEarlier);
   EXPECT_EQ(this->tracker.StartMs(), 7);
+  EXPECT_TRUE(this->tracker.TokenConfirmed());
   EXPECT_TRUE(this->tracker.HasClock());
   EXPECT_EQ(this->tracker.SeenEndSeq(), 5u);
   EXPECT_FALSE(this->tracker.AllEndsAcknowledged());
@@ -104,6 +107,7 @@
   EXPECT_FALSE(this->tracker.ObserveSetBack(before_first, 6));
   EXPECT_FALSE(this->tracker.ObserveSetBack(before_restart, 6));
   EXPECT_EQ(this->tracker.StartMs(), 7);
+  EXPECT_TRUE(this->tracker.TokenConfirmed());
 }
 
 TEST_F(IncarnationTrackerTest, OnlyEarlierStartShowsClockSetBack) {
