Runs: a silent endpoint's token counts only for the incarnation that accepted it

Such an endpoint is probed without a token. - A restart that showed only when a silent endpoint answered was claimed at once. It is claimed after the delay of other silent endpoints, in which the heartbeats of another holder arrive. - An older poll that failed late put off the next one, by up to 2 s.

Evidence: EndpointSessionTest.SilentEndpointThatRestartedIsProbedWithoutToken, RestartOfSilentEndpointIsClaimedAfterDelay and LateFailureDoesNotPutOffNextPoll.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -70,9 +70,11 @@
     const bool was_outdated = std::exchange(this->entry_outdated, false);
     if (was_outdated) this->on_change();
   }
+  if (!newer) return;
   // Another program may have written the entry, so only a list of runs shows a
   // restart.
-  if (newer && this->state == SessionState::kReady) {
+  this->incarnation.DoubtToken();
+  if (this->state == SessionState::kReady) {
     this->Poll(base::Duration{0}, false);
   }
 }
@@ -379,6 +381,7 @@
   // new token. No task starts until the endpoint has confirmed that token.
   this->fence = this->parts.tokens.NextClaim(
       this->parts.clock.WallMilliseconds(), this->fence);
+  this->incarnation.DoubtToken();
   if (this->state == SessionState::kReady) {
     this->SetState(SessionState::kClaiming,
                    "rechecks of the claim are exhausted");
@@ -402,13 +405,12 @@
   this->Poll(this->PollWait(), false);
 }
 
-// Checks whether an endpoint that this process has not held yet can be reached,
-// with the fencing token 0, which claims nothing. One that it has held is
-// polled with its token instead: the token does not outrank a later claim of
-// another process, and it rejects the late starts of runs that count as lost.
-// After a partition, a holder on the other side may still be
+// Checks whether the endpoint can be reached, with the fencing token 0, which
+// claims nothing. After a partition, a holder on the other side may still be
 // running. The claim therefore waits until the heartbeats of that holder have
-// had time to arrive.
+// had time to arrive. An endpoint that has accepted the token of the claim is
+// polled with that token instead: it does not outrank a later claim, and the
+// endpoint rejects the late starts of runs that count as lost.
 void EndpointSession::Probe() {
   if (this->probe_in_flight) return;
   this->probe_in_flight = true;
@@ -433,7 +435,7 @@
 void EndpointSession::OnPollReply(const PollOrder& order, const SentOrder& sent,
                                   const PollReply& reply) {
   if (!this->CheckIncarnation(reply.order.incarnation_start_ms)) {
-    this->PollAgain();
+    if (!this->poll_timer.IsActive()) this->PollAgain();
     return;
   }
   this->incarnation.RecordClock(sent, reply.order);
@@ -501,6 +503,11 @@
 }
 
 void EndpointSession::OnPollFailed(const OrderReply& reply) {
+  // An older poll that fails late must not put off the next one.
+  if (this->state == SessionState::kUnreachable &&
+      this->poll_timer.IsActive()) {
+    return;
+  }
   this->recheck_due = false;
   ++this->failures;
   this->parts.metrics.Count("runs.poll_failures");
@@ -530,6 +537,7 @@
       this->fence_raises < kMaxFenceRaises) {
     this->fence = this->parts.tokens.Raise(
         this->fence, kFirstFenceRaiseMs << this->fence_raises);
+    this->incarnation.DoubtToken();
     ++this->fence_raises;
     this->PollAgain();
     return;
@@ -689,6 +697,7 @@
   this->entry_outdated =
       this->entry.incarnation_start_ms != 0 &&
       this->entry.incarnation_start_ms != this->incarnation.StartMs();
+  const bool was_unreachable = this->state == SessionState::kUnreachable;
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
   // Held runs were placed by the entry of the previous incarnation.
   this->EndHeld();
@@ -715,7 +724,12 @@
   // Polls in flight were sent to the previous incarnation.
   ++this->poll_generation;
   this->polls_in_flight = 0;
-  this->Poll(base::Duration{0}, false);
+  if (was_unreachable) {
+    // Another process may have claimed the new incarnation.
+    this->poll_timer.StartOnce(kClaimDelay, [this] { this->PollAgain(); });
+  } else {
+    this->Poll(base::Duration{0}, false);
+  }
   this->on_change();
 }
 
--- a/src/libs/runs/incarnation_tracker.h
+++ b/src/libs/runs/incarnation_tracker.h
@@ -98,8 +98,11 @@
     return this->seen_end_seq == this->acked_end_seq;
   }
 
-  /// Records that the present incarnation has accepted a token of the session.
+  /// Records that the present incarnation has accepted the token of the claim.
   void ConfirmToken() { this->token_confirmed = true; }
+  /// Records that the claim was replaced, or that the endpoint may have
+  /// restarted.
+  void DoubtToken() { this->token_confirmed = false; }
   bool TokenConfirmed() const { return this->token_confirmed; }
 
  private:
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -651,6 +651,63 @@
   EXPECT_EQ(this->session->State(), SessionState::kReady);
 }
 
+// Guards against the take-over of an endpoint whose new incarnation another
+// process may have claimed: it restarted while it was silent here.
+TEST_F(EndpointSessionTest, SilentEndpointThatRestartedIsProbedWithoutToken) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  this->entry.incarnation_start_ms = this->incarnation_start_ms + 1;
+  this->session->UpdateEntry(this->entry);
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  EXPECT_EQ(this->orders.polls.back().order.target.fence, 0U);
+}
+
+// As above, when no entry has shown the restart.
+TEST_F(EndpointSessionTest, RestartOfSilentEndpointIsClaimedAfterDelay) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  ++this->incarnation_start_ms;
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  const std::size_t polls = this->orders.polls.size();
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->orders.polls.size(), polls);
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->orders.polls.size(), polls + 1);
+}
+
+// Guards against an endpoint that is out of use for longer than it was silent:
+// each older poll that failed put off the next one.
+TEST_F(EndpointSessionTest, LateFailureDoesNotPutOffNextPoll) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kUnanswered);
+  this->AnswerPoll(2, OrderOutcome::kUnanswered);
+  this->AnswerPoll(3, OrderOutcome::kUnanswered);
+  ASSERT_EQ(this->session->State(), SessionState::kUnreachable);
+  const std::size_t polls = this->orders.polls.size();
+  this->clock.Advance(milliseconds(200));
+  this->AnswerPoll(1, OrderOutcome::kUnanswered);
+  this->clock.Advance(milliseconds(60));
+  EXPECT_EQ(this->orders.polls.size(), polls + 1);
+}
+
 // The token of a process that was cut off does not outrank the claim that
 // another process made meanwhile.
 TEST_F(EndpointSessionTest, SilentEndpointThatWasClaimedIsGivenUp) {
