--- a/src/libs/runs/endpoint_orders.h
+++ b/src/libs/runs/endpoint_orders.h
@@ -9,6 +9,8 @@
 
 namespace hawthornwheel::runs {
 
+enum class RunOutcome;
+
 /// Result of an order to an endpoint.
 enum class OrderOutcome {
   kAccepted,
@@ -27,6 +29,8 @@
   kWrongInstance,
   /// The endpoint sheds load and has not carried out the order.
   kOverloaded,
+  /// The order could not be sent, so the endpoint has not received it.
+  kNotSent,
   /// No answer arrived. The order may have been carried out or may still be.
   kUnanswered,
 };
@@ -34,6 +38,13 @@
 /// Returns the name for logs.
 const char* NameOf(OrderOutcome outcome);
 
+/// Returns whether an order is known not to be carried out: the endpoint has
+/// refused it, or it was not sent.
+bool IsNotCarriedOut(OrderOutcome outcome);
+
+/// Returns whether the endpoint has not answered an order.
+bool IsUnanswered(OrderOutcome outcome);
+
 /// Holds the destination of an order, the fencing token of its sender and the
 /// time limit for the answer.
 struct OrderTarget {
@@ -98,6 +109,9 @@
   kGangNotAssembled
 };
 
+/// Returns the outcome of a run that has ended in this way.
+RunOutcome OutcomeOf(RunEndKind kind);
+
 /// Describes a run that is in progress at an endpoint.
 struct ActiveRun {
   std::string task;
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -7,6 +7,7 @@
 
 #include "base/logger.h"
 #include "base/metrics.h"
+#include "runs/sent_order.h"
 
 namespace hawthornwheel::runs {
 namespace {
@@ -15,15 +16,6 @@
 
 constexpr base::Logger kLog("endpoint");
 
-// Clocks of endpoints may run 2% slow, so a lease lasts up to 1.02 times as
-// long by the local clock. The margin covers rounding and network delay.
-constexpr int kSlowClockPercent = 102;
-constexpr int kSlowestRatePercent = 98;
-constexpr int kWholePercent = 100;
-constexpr base::Duration kLeaseMargin = milliseconds(30);
-// Time after the last list of runs in which no restart of the endpoint is
-// expected; a restart takes longer.
-constexpr base::Duration kListValidity = milliseconds(50);
 // Failed polls in a row after which the endpoint counts as unreachable.
 constexpr int kMaxPollFailures = 2;
 constexpr base::Duration kMinProbeBackoff = milliseconds(250);
@@ -39,61 +31,9 @@
 constexpr int kMaxFenceRaises = 10;
 constexpr std::int64_t kFirstFenceRaiseMs = 1'000;
 
-// Runs with an estimate of at least kLongEstimate are polled with the shorter
-// kProgressPollWait during their first kProgressWatchTime, so that an overdue
-// run is found while there is still time to run its task at another endpoint.
-constexpr base::Duration kLongEstimate = milliseconds(350);
-constexpr base::Duration kProgressWatchTime = milliseconds(500);
+// Wait of a poll while the progress of a run is watched.
 constexpr base::Duration kProgressPollWait = milliseconds(160);
 
-const char* NameOf(SessionState state) {
-  switch (state) {
-    case SessionState::kClaiming:
-      return "claiming";
-    case SessionState::kReady:
-      return "ready";
-    case SessionState::kUnreachable:
-      return "unreachable";
-    case SessionState::kFencedOff:
-      return "fenced_off";
-  }
-  return "unknown";
-}
-
-// Returns whether the endpoint answered that it has not carried out an order.
-bool IsRefusal(OrderOutcome outcome) {
-  switch (outcome) {
-    case OrderOutcome::kFenced:
-    case OrderOutcome::kStaleRun:
-    case OrderOutcome::kExpired:
-    case OrderOutcome::kNoCapacity:
-    case OrderOutcome::kInvalid:
-    case OrderOutcome::kOverloaded:
-      return true;
-    case OrderOutcome::kAccepted:
-    case OrderOutcome::kWrongInstance:
-    case OrderOutcome::kUnanswered:
-      return false;
-  }
-  return false;
-}
-
-RunOutcome OutcomeOf(RunEndKind kind) {
-  switch (kind) {
-    case RunEndKind::kDone:
-      return RunOutcome::kDone;
-    case RunEndKind::kFailed:
-      return RunOutcome::kFailed;
-    case RunEndKind::kStopped:
-      return RunOutcome::kStopped;
-    case RunEndKind::kLeaseExpired:
-    case RunEndKind::kGangMemberEnded:
-    case RunEndKind::kGangNotAssembled:
-      return RunOutcome::kLost;
-  }
-  return RunOutcome::kLost;
-}
-
 }  // namespace
 
 EndpointSession::EndpointSession(const Parts& parts,
@@ -105,8 +45,7 @@
       on_change(std::move(on_change)),
       fence(
           parts.tokens.NextClaim(parts.clock.WallMilliseconds(), fence_floor)),
-      clock_read(parts.clock.Now()),
-      last_list(parts.clock.Now()),
+      incarnation(parts.clock),
       lease_expiry(parts.clock.Now()),
       poll_timer(parts.clock),
       lease_expiry_timer(parts.clock) {
@@ -124,16 +63,18 @@
 void EndpointSession::UpdateEntry(const catalog::EndpointEntry& new_entry) {
   const bool newer =
       new_entry.incarnation_start_ms >
-      std::max(this->entry.incarnation_start_ms, this->incarnation_start_ms);
+      std::max(this->entry.incarnation_start_ms, this->incarnation.StartMs());
   this->entry = new_entry;
   if (new_entry.incarnation_start_ms == 0 ||
-      new_entry.incarnation_start_ms == this->incarnation_start_ms) {
+      new_entry.incarnation_start_ms == this->incarnation.StartMs()) {
     const bool was_outdated = std::exchange(this->entry_outdated, false);
     if (was_outdated) this->on_change();
   }
+  if (!newer) return;
   // Another program may have written the entry, so only a list of runs shows a
   // restart.
-  if (newer && this->state == SessionState::kReady) {
+  this->incarnation.DoubtToken();
+  if (this->state == SessionState::kReady) {
     this->Poll(base::Duration{0}, false);
   }
 }
@@ -188,8 +129,7 @@
       this->runs.begin(), this->runs.end(),
       [](const auto& item) { return item.second.state == RunState::kHeld; });
   if (has_held) return false;
-  return this->polls_in_flight > 0 ||
-         this->parts.clock.Now() - this->last_list <= kListValidity;
+  return this->polls_in_flight > 0 || this->incarnation.HasRecentList();
 }
 
 void EndpointSession::SendStart(const RunKey& key) {
@@ -207,15 +147,15 @@
   start.task = run.order.task;
   start.run = run.order.run;
   start.payload = run.order.payload;
-  start.lease_until_ms = this->LeaseUntil();
-  this->lease_expiry = std::max(
-      this->lease_expiry,
-      now + this->parts.settings.lease * kSlowClockPercent / kWholePercent +
-          kLeaseMargin);
+  start.lease_until_ms =
+      this->incarnation.LeaseUntil(this->parts.settings.lease);
+  this->lease_expiry.Extend(now, this->parts.settings.lease);
   this->parts.metrics.Count("runs.starts");
   this->parts.orders.Start(
-      start, [this, key, sent = this->MakeSentOrder(),
-              guard = this->callback_guard](const OrderReply& reply) {
+      start,
+      [this, key,
+       sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
+       guard = this->callback_guard](const OrderReply& reply) {
         if (*guard) this->OnStartReply(key, sent, reply);
       });
 }
@@ -253,8 +193,8 @@
 void EndpointSession::OnStartReply(const RunKey& key, const SentOrder& sent,
                                    const OrderReply& reply) {
   if (!this->CheckIncarnation(reply.incarnation_start_ms)) return;
-  this->RecordClock(sent, reply);
-  if (this->ShowsRestart(sent, reply)) this->Recheck();
+  this->incarnation.RecordClock(sent, reply);
+  if (this->incarnation.ShowsRestart(sent, reply)) this->Recheck();
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
   Run& run = found->second;
@@ -267,7 +207,7 @@
         this->entry.id, key.first, key.second, sent.fence,
         runs::NameOf(reply.outcome), reply.cause);
   }
-  if (run.start_answered && IsRefusal(reply.outcome)) {
+  if (run.start_answered && IsNotCarriedOut(reply.outcome)) {
     // The endpoint has listed the run, so it has carried out an earlier
     // delivery of this order.
     if (reply.outcome == OrderOutcome::kFenced && sent.fence == this->fence) {
@@ -312,6 +252,10 @@
       this->poll_timer.StartOnce(kMinProbeBackoff,
                                  [this] { this->PollAgain(); });
       return;
+    case OrderOutcome::kNotSent:
+      this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartNotSent);
+      this->Recheck();
+      return;
     case OrderOutcome::kUnanswered:
       this->Recheck();
       return;
@@ -340,13 +284,14 @@
   this->parts.metrics.Count("runs.stops");
   this->parts.orders.Stop(
       this->Target(this->parts.settings.answer_time), key.first, key.second,
-      [this, key, sent = this->MakeSentOrder(),
+      [this, key,
+       sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
        guard = this->callback_guard](const OrderReply& reply) {
         if (!*guard || !this->CheckIncarnation(reply.incarnation_start_ms))
           return;
-        this->RecordClock(sent, reply);
+        this->incarnation.RecordClock(sent, reply);
         // The earlier incarnation may have accepted the stop.
-        if (sent.incarnation_start_ms != this->incarnation_start_ms) return;
+        if (!this->incarnation.WasSentToPresent(sent)) return;
         const auto stopped = this->runs.find(key);
         if (stopped == this->runs.end()) return;
         if (stopped->second.state != RunState::kStopping) return;
@@ -393,36 +338,32 @@
   if (raise_fence) this->RaiseFence();
   PollOrder order;
   order.target = this->Target(wait + this->parts.settings.answer_time);
-  order.acked_end_seq = this->seen_end_seq;
+  order.acked_end_seq = this->incarnation.SeenEndSeq();
   order.wait = wait;
   const bool renew =
       std::any_of(this->runs.begin(), this->runs.end(), [](const auto& item) {
         return !item.second.foreign && item.second.state != RunState::kStopping;
       });
-  if (renew && this->clock_ms != 0 && this->failures < kMaxPollFailures) {
-    order.lease_until_ms = this->LeaseUntil();
-    this->lease_expiry = std::max(
-        this->lease_expiry,
-        now + this->parts.settings.lease * kSlowClockPercent / kWholePercent +
-            kLeaseMargin);
+  if (renew && this->incarnation.HasClock() &&
+      this->failures < kMaxPollFailures) {
+    order.lease_until_ms =
+        this->incarnation.LeaseUntil(this->parts.settings.lease);
+    this->lease_expiry.Extend(now, this->parts.settings.lease);
   }
   ++this->polls_in_flight;
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
-      order, [this, order, generation = this->poll_generation,
-              sent = this->MakeSentOrder(),
-              guard = this->callback_guard](const PollReply& reply) {
+      order,
+      [this, order, generation = this->poll_generation,
+       sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
+       guard = this->callback_guard](const PollReply& reply) {
         if (!*guard) return;
         const bool is_current = generation == this->poll_generation;
         if (is_current) --this->polls_in_flight;
-        const bool lost = reply.order.outcome == OrderOutcome::kUnanswered;
+        const bool lost = IsUnanswered(reply.order.outcome);
         if (lost && !is_current) return;
-        // The endpoint was asked after its incarnation was known, so it has
-        // restarted since, with a clock that was set back.
-        const std::int64_t answering = reply.order.incarnation_start_ms;
-        if (answering != 0 && answering < sent.incarnation_start_ms &&
-            sent.incarnation_start_ms == this->incarnation_start_ms) {
-          this->incarnation_start_ms = answering;
+        if (this->incarnation.ObserveSetBack(
+                sent, reply.order.incarnation_start_ms)) {
           this->OnRestart();
           return;
         }
@@ -440,6 +381,7 @@
   // new token. No task starts until the endpoint has confirmed that token.
   this->fence = this->parts.tokens.NextClaim(
       this->parts.clock.WallMilliseconds(), this->fence);
+  this->incarnation.DoubtToken();
   if (this->state == SessionState::kReady) {
     this->SetState(SessionState::kClaiming,
                    "rechecks of the claim are exhausted");
@@ -450,22 +392,25 @@
   if (this->polls_in_flight > 0 || this->state == SessionState::kFencedOff)
     return;
   const bool unreachable = this->state == SessionState::kUnreachable;
-  if (unreachable && this->runs.empty()) {
+  if (unreachable && this->runs.empty() &&
+      !this->incarnation.TokenConfirmed()) {
     this->Probe();
     return;
   }
   if (unreachable || this->state == SessionState::kClaiming) {
-    this->Poll(base::Duration{0}, unreachable);
+    this->Poll(base::Duration{0}, unreachable && !this->runs.empty());
     return;
   }
-  if (this->runs.empty() && this->seen_end_seq == this->acked_end_seq) return;
+  if (this->runs.empty() && this->incarnation.AllEndsAcknowledged()) return;
   this->Poll(this->PollWait(), false);
 }
 
 // Checks whether the endpoint can be reached, with the fencing token 0, which
 // claims nothing. After a partition, a holder on the other side may still be
 // running. The claim therefore waits until the heartbeats of that holder have
-// had time to arrive.
+// had time to arrive. An endpoint that has accepted the token of the claim is
+// polled with that token instead: it does not outrank a later claim, and the
+// endpoint rejects the late starts of runs that count as lost.
 void EndpointSession::Probe() {
   if (this->probe_in_flight) return;
   this->probe_in_flight = true;
@@ -477,7 +422,7 @@
         if (!*guard) return;
         this->probe_in_flight = false;
         if (this->state != SessionState::kUnreachable) return;
-        if (reply.order.outcome == OrderOutcome::kUnanswered) {
+        if (IsUnanswered(reply.order.outcome)) {
           this->OnPollFailed(reply.order);
           return;
         }
@@ -490,20 +435,15 @@
 void EndpointSession::OnPollReply(const PollOrder& order, const SentOrder& sent,
                                   const PollReply& reply) {
   if (!this->CheckIncarnation(reply.order.incarnation_start_ms)) {
-    this->PollAgain();
+    if (!this->poll_timer.IsActive()) this->PollAgain();
     return;
   }
-  const bool newest = reply.order.clock_ms >= this->list_clock_ms;
-  this->RecordClock(sent, reply.order);
+  this->incarnation.RecordClock(sent, reply.order);
   switch (reply.order.outcome) {
     case OrderOutcome::kAccepted:
-      if (sent.incarnation_start_ms == this->incarnation_start_ms) {
-        this->acked_end_seq =
-            std::max(this->acked_end_seq, order.acked_end_seq);
-      }
+      this->incarnation.RecordAcknowledgement(sent, order.acked_end_seq);
       this->ProcessEnds(reply);
-      if (newest) {
-        this->list_clock_ms = reply.order.clock_ms;
+      if (this->incarnation.RecordList(reply.order)) {
         this->ProcessRunning(order, reply);
       }
       this->OnPollAccepted(order, sent, reply);
@@ -541,13 +481,10 @@
   this->failures = 0;
   this->fence_raises = 0;
   this->lease_expiry_timer.Stop();
-  // The endpoint waits in full unless it has ends to report.
-  const base::TimePoint listed =
-      reply.ended.empty() ? sent.time + order.wait : sent.time;
-  this->last_list =
-      std::max(this->last_list, std::min(listed, this->parts.clock.Now()));
+  this->incarnation.RecordListTime(order, sent, reply);
   if (confirms) {
     this->recheck_due = false;
+    this->incarnation.ConfirmToken();
     if (this->state != SessionState::kReady) {
       this->SetState(SessionState::kReady, "poll was answered");
     }
@@ -566,6 +503,11 @@
 }
 
 void EndpointSession::OnPollFailed(const OrderReply& reply) {
+  // An older poll that fails late must not put off the next one.
+  if (this->state == SessionState::kUnreachable &&
+      this->poll_timer.IsActive()) {
+    return;
+  }
   this->recheck_due = false;
   ++this->failures;
   this->parts.metrics.Count("runs.poll_failures");
@@ -576,8 +518,8 @@
   if (this->state != SessionState::kUnreachable) {
     this->SetState(SessionState::kUnreachable, reply.cause.c_str());
     this->EndHeld();
-    const base::Duration left = std::max(
-        base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
+    const base::Duration left =
+        this->lease_expiry.TimeLeft(this->parts.clock.Now());
     this->lease_expiry_timer.StartOnce(left, [this] {
       this->EndAllAsLost("lease expired, endpoint does not answer",
                          SettlementEvidence::kLeaseExpired);
@@ -595,6 +537,7 @@
       this->fence_raises < kMaxFenceRaises) {
     this->fence = this->parts.tokens.Raise(
         this->fence, kFirstFenceRaiseMs << this->fence_raises);
+    this->incarnation.DoubtToken();
     ++this->fence_raises;
     this->PollAgain();
     return;
@@ -606,7 +549,7 @@
   this->SetState(SessionState::kFencedOff, "higher fencing token");
   this->EndHeld();
   const base::Duration left =
-      std::max(base::Duration{0}, this->lease_expiry - this->parts.clock.Now());
+      this->lease_expiry.TimeLeft(this->parts.clock.Now());
   this->lease_expiry_timer.StartOnce(left, [this] {
     this->EndAllAsLost("fenced off", SettlementEvidence::kLeaseExpired);
   });
@@ -615,8 +558,7 @@
 
 void EndpointSession::ProcessEnds(const PollReply& reply) {
   for (const EndedRun& reported : reply.ended) {
-    if (reported.sequence_number <= this->seen_end_seq) continue;
-    this->seen_end_seq = reported.sequence_number;
+    if (!this->incarnation.RecordEnd(reported.sequence_number)) continue;
     const RunKey key{reported.task, reported.run};
     const auto found = this->runs.find(key);
     if (found == this->runs.end()) continue;
@@ -646,29 +588,14 @@
   for (auto& [key, run] : this->runs) {
     if (run.state == RunState::kHeld) continue;
     if (present.contains(key)) {
-      run.start_answered = true;
-      run.incarnation_start_ms = this->incarnation_start_ms;
-      run.overtaken_by_restart = false;
-      if (run.state == RunState::kStarting) {
-        run.state = RunState::kRunning;
-        run.timer->Stop();
-      }
-      continue;
-    }
-    // The endpoint now rejects starts with a lower token, so this start cannot
-    // be carried out any more. One that was accepted around a restart went to
-    // the previous incarnation.
-    const bool unsettled = !run.start_answered || run.overtaken_by_restart;
-    if (unsettled && !run.foreign && run.fence < order.target.fence) {
-      absent_runs.emplace_back(key, run.overtaken_by_restart
-                                        ? RunOutcome::kLost
-                                        : RunOutcome::kNotRun);
+      run.OnListed(this->incarnation.StartMs());
       continue;
     }
-    const std::int64_t stop_ms =
-        this->parts.settings.stop_time / milliseconds(1);
-    if (run.state == RunState::kStopping && run.stop_clock_ms != 0 &&
-        reply.order.clock_ms > run.stop_clock_ms + stop_ms) {
+    const auto outcome = run.OutcomeIfAbsent(order.target.fence);
+    if (outcome) {
+      absent_runs.emplace_back(key, *outcome);
+    } else if (run.HasStoppedBy(reply.order.clock_ms,
+                                this->parts.settings.stop_time)) {
       stopped_runs.push_back(key);
     }
   }
@@ -710,10 +637,8 @@
 base::Duration EndpointSession::PollWait() const {
   const base::TimePoint now = this->parts.clock.Now();
   const bool watch = std::any_of(
-      this->runs.begin(), this->runs.end(), [now](const auto& item) {
-        return item.second.order.estimate >= kLongEstimate &&
-               now - item.second.started < kProgressWatchTime;
-      });
+      this->runs.begin(), this->runs.end(),
+      [now](const auto& item) { return item.second.IsWatched(now); });
   return watch ? std::min(kProgressPollWait, this->parts.settings.poll_wait)
                : this->parts.settings.poll_wait;
 }
@@ -732,7 +657,7 @@
         runs::NameOf(settlement->outcome), NameOf(settlement->evidence),
         (this->parts.clock.Now() - settlement->time) / milliseconds(1),
         settlement->order_fence, settlement->fence, list_fence,
-        this->incarnation_start_ms);
+        this->incarnation.StartMs());
   } else {
     kLog.Info(
         "Run of another process is stopped. endpoint={} task={} run={} "
@@ -749,39 +674,30 @@
   this->SendStop(key);
 }
 
+// Returns whether an answer counts, by the incarnation that it names.
 bool EndpointSession::CheckIncarnation(std::int64_t reported_start_ms) {
-  if (reported_start_ms == 0 || reported_start_ms == this->incarnation_start_ms)
-    return true;
-  const bool first = this->incarnation_start_ms == 0;
-  if (reported_start_ms < this->incarnation_start_ms) return false;
-  this->incarnation_start_ms = reported_start_ms;
-  if (first) {
-    // An earlier incarnation may have refused the claim.
-    this->clock_ms = 0;
-    this->entry_outdated = this->entry.incarnation_start_ms != 0 &&
-                           this->entry.incarnation_start_ms < reported_start_ms;
-    return true;
-  }
-  this->OnRestart();
+  switch (this->incarnation.Observe(reported_start_ms)) {
+    case IncarnationTracker::Report::kPresent:
+      return true;
+    case IncarnationTracker::Report::kFirst:
+      this->entry_outdated =
+          this->entry.incarnation_start_ms != 0 &&
+          this->entry.incarnation_start_ms < reported_start_ms;
+      return true;
+    case IncarnationTracker::Report::kRestart:
+      this->OnRestart();
+      return false;
+    case IncarnationTracker::Report::kEarlier:
+      return false;
+  }
   return false;
 }
 
-// The clock of an incarnation does not go back, so it answers an order with a
-// time no earlier than any that was read before the order was sent.
-bool EndpointSession::ShowsRestart(const SentOrder& sent,
-                                   const OrderReply& reply) const {
-  return reply.clock_ms != 0 && reply.clock_ms < sent.clock_ms &&
-         sent.incarnation_start_ms == this->incarnation_start_ms;
-}
-
 void EndpointSession::OnRestart() {
   this->entry_outdated =
       this->entry.incarnation_start_ms != 0 &&
-      this->entry.incarnation_start_ms != this->incarnation_start_ms;
-  this->clock_ms = 0;
-  this->list_clock_ms = 0;
-  this->seen_end_seq = 0;
-  this->acked_end_seq = 0;
+      this->entry.incarnation_start_ms != this->incarnation.StartMs();
+  const bool was_unreachable = this->state == SessionState::kUnreachable;
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
   // Held runs were placed by the entry of the previous incarnation.
   this->EndHeld();
@@ -790,18 +706,13 @@
   // the restart. Its list of runs decides about the runs that no list of the
   // previous incarnation has shown.
   for (auto& [key, run] : this->runs) {
-    if (run.incarnation_start_ms != 0) {
-      lost.push_back(key);
-    } else {
-      run.overtaken_by_restart = true;
-      run.stop_clock_ms = 0;
-    }
+    if (run.OnRestart()) lost.push_back(key);
   }
   if (!this->runs.empty()) {
     kLog.Warning(
         "Endpoint has restarted. endpoint={} incarnation={} lost={} "
         "unsettled={}",
-        this->entry.id, this->incarnation_start_ms, lost.size(),
+        this->entry.id, this->incarnation.StartMs(), lost.size(),
         this->runs.size() - lost.size());
   }
   for (const RunKey& key : lost) {
@@ -813,36 +724,15 @@
   // Polls in flight were sent to the previous incarnation.
   ++this->poll_generation;
   this->polls_in_flight = 0;
-  this->Poll(base::Duration{0}, false);
+  if (was_unreachable) {
+    // Another process may have claimed the new incarnation.
+    this->poll_timer.StartOnce(kClaimDelay, [this] { this->PollAgain(); });
+  } else {
+    this->Poll(base::Duration{0}, false);
+  }
   this->on_change();
 }
 
-EndpointSession::SentOrder EndpointSession::MakeSentOrder() const {
-  return {this->fence, this->incarnation_start_ms, this->last_start_number,
-          this->parts.clock.Now(), this->clock_ms};
-}
-
-// Only a list of runs names the incarnation that answers. Any other answer may
-// come from the one that was known when its order was sent.
-void EndpointSession::RecordClock(const SentOrder& sent,
-                                  const OrderReply& reply) {
-  const std::int64_t answering = reply.incarnation_start_ms != 0
-                                     ? reply.incarnation_start_ms
-                                     : sent.incarnation_start_ms;
-  if (answering != this->incarnation_start_ms) return;
-  if (reply.clock_ms == 0 || reply.clock_ms < this->clock_ms) return;
-  this->clock_ms = reply.clock_ms;
-  this->clock_read = this->parts.clock.Now();
-}
-
-std::int64_t EndpointSession::LeaseUntil() const {
-  // The endpoint's clock has reached this at least. A later time would let an
-  // order that is carried out late extend the lease beyond `lease_expiry`.
-  const base::Duration age = (this->parts.clock.Now() - this->clock_read) *
-                             kSlowestRatePercent / kWholePercent;
-  return this->clock_ms + (age + this->parts.settings.lease) / milliseconds(1);
-}
-
 OrderTarget EndpointSession::Target(base::Duration timeout) const {
   return {this->entry.address, this->entry.id, this->fence, timeout};
 }
@@ -869,7 +759,8 @@
         "age_ms={} answered={} order_fence={} fence={} incarnation={}",
         this->entry.id, key.first, key.second, runs::NameOf(outcome),
         NameOf(evidence), (now - run.started) / milliseconds(1),
-        run.start_answered, run.fence, this->fence, this->incarnation_start_ms);
+        run.start_answered, run.fence, this->fence,
+        this->incarnation.StartMs());
     this->settled.Add(key.first, key.second,
                       {outcome, evidence, run.fence, this->fence, now});
   }
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -12,9 +12,12 @@
 #include "catalog/endpoint_entry.h"
 #include "runs/endpoint_health.h"
 #include "runs/endpoint_orders.h"
+#include "runs/endpoint_run.h"
 #include "runs/fencing_token_generator.h"
-#include "runs/run_progress.h"
+#include "runs/incarnation_tracker.h"
+#include "runs/lease_expiry.h"
 #include "runs/run_settings.h"
+#include "runs/session_state.h"
 #include "runs/settled_runs.h"
 #include "runs/task_order.h"
 
@@ -24,17 +27,7 @@
 
 namespace hawthornwheel::runs {
 
-/// State of a session with its endpoint.
-enum class SessionState {
-  /// The endpoint has not yet confirmed the fencing token.
-  kClaiming,
-  /// The endpoint has confirmed the fencing token.
-  kReady,
-  /// Two polls in a row have failed, or the first probe is not answered yet.
-  kUnreachable,
-  /// A higher fencing token is in force: another process holds the endpoint.
-  kFencedOff,
-};
+struct SentOrder;
 
 /// Sends orders to one endpoint under a fencing token, renews the leases of its
 /// runs, and tracks its free resources. Runs whose start may still be carried
@@ -91,54 +84,8 @@
 
  private:
   using RunKey = std::pair<std::string, std::uint64_t>;
-
-  enum class RunState {
-    /// The start order is not sent before the endpoint has listed its runs, so
-    /// that a restart of an idle endpoint is noticed first.
-    kHeld,
-    kStarting,
-    kRunning,
-    kStopping,
-  };
-
-  /// What was known when an order was sent.
-  struct SentOrder {
-    std::uint64_t fence = 0;
-    std::int64_t incarnation_start_ms = 0;
-    /// Number of the latest start order, this one included.
-    std::uint64_t start_number = 0;
-    base::TimePoint time;
-    /// Latest reading of the endpoint's clock.
-    std::int64_t clock_ms = 0;
-  };
-
-  struct Run {
-    RunState state = RunState::kStarting;
-    TaskOrder order;
-    RunHandlers handlers;
-    /// Whether another process started the run; its resource needs are unknown.
-    bool foreign = false;
-    /// Fencing token of its start order.
-    std::uint64_t fence = 0;
-    /// Number of its start order in this session.
-    std::uint64_t start_number = 0;
-    /// Time at which the start order was sent, or the run was held.
-    base::TimePoint started;
-    /// Time after which its result is of no use to the caller.
-    base::TimePoint deadline;
-    RunProgress progress{{}};
-    bool overdue = false;
-    bool start_answered = false;
-    /// Start of the endpoint's incarnation that has the run, in Unix
-    /// milliseconds; 0 while unknown. An accepted start alone does not tell it.
-    std::int64_t incarnation_start_ms = 0;
-    /// The endpoint restarted while the incarnation was unknown, so either one
-    /// may have carried out the start.
-    bool overtaken_by_restart = false;
-    /// Endpoint's clock in milliseconds when it accepted the stop; 0 before.
-    std::int64_t stop_clock_ms = 0;
-    std::unique_ptr<base::Timer> timer;
-  };
+  using Run = EndpointRun;
+  using RunState = EndpointRun::State;
 
   bool IsVerified() const;
   void SendStart(const RunKey& key);
@@ -166,10 +113,6 @@
   void Recheck();
   bool HasMissedRecheck() const;
   bool CheckIncarnation(std::int64_t reported_start_ms);
-  bool ShowsRestart(const SentOrder& sent, const OrderReply& reply) const;
-  void RecordClock(const SentOrder& sent, const OrderReply& reply);
-  SentOrder MakeSentOrder() const;
-  std::int64_t LeaseUntil() const;
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
   void Settle(const RunKey& key, RunOutcome outcome,
@@ -191,23 +134,8 @@
   std::map<RunKey, Run> runs;
   std::uint64_t last_start_number = 0;
   SettledRuns settled;
-  /// Highest sequence number of an end that was processed.
-  std::uint64_t seen_end_seq = 0;
-  /// Highest sequence number that an accepted poll has acknowledged.
-  std::uint64_t acked_end_seq = 0;
-  /// Start of the endpoint's incarnation in Unix milliseconds; 0 until known.
-  std::int64_t incarnation_start_ms = 0;
-  /// Latest reading of the endpoint's clock in milliseconds, and the local time
-  /// of that reading.
-  std::int64_t clock_ms = 0;
-  base::TimePoint clock_read;
-  /// Endpoint's clock in milliseconds at its newest list of runs.
-  std::int64_t list_clock_ms = 0;
-  /// Earliest time at which the endpoint can have made the last list of runs.
-  base::TimePoint last_list;
-  /// Latest time by the local clock at which the leases expire without a
-  /// further renewal.
-  base::TimePoint lease_expiry;
+  IncarnationTracker incarnation;
+  LeaseExpiry lease_expiry;
   /// Number of polls in flight that were sent since `poll_generation` last
   /// rose.
   int polls_in_flight = 0;
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -202,7 +202,8 @@
     const HostedKey key{address, envelope.sender(), task.placement()};
     // A second copy, or the task was stopped before it arrived. Its process was
     // told then, and an answer to a copy would count for the first request.
-    if (!this->settled.try_emplace(key, now).second) {
+    if (this->hosted.contains(key) ||
+        !this->settled.try_emplace(key, now).second) {
       this->metrics.Count("remote.settled_placements");
       continue;
     }
@@ -272,11 +273,12 @@
     const auto found = this->placements.find(end.placement());
     if (found == this->placements.end()) continue;
     if (found->second.incarnation != envelope.sender()) continue;
-    if (static_cast<RunOutcome>(end.outcome()) == RunOutcome::kNotRun) {
+    const auto outcome = static_cast<RunOutcome>(end.outcome());
+    if (outcome == RunOutcome::kNotRun || outcome == RunOutcome::kUnconfirmed) {
       this->refusals[found->second.order.endpoint] = {
           found->second.address, envelope.placement_report().steady_ms()};
     }
-    this->End(end.placement(), static_cast<RunOutcome>(end.outcome()));
+    this->End(end.placement(), outcome);
   }
   for (const wire::PlacementOverdue& overdue :
        envelope.placement_report().overdue()) {
--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -328,7 +328,31 @@
   EXPECT_TRUE(this->ends.empty());
   this->AnswerPoll(2, OrderOutcome::kAccepted);
   ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kUnconfirmed);
+}
+
+// A start that was not sent tells more than one without an answer: its job may
+// be refused (issue 32), and its task is placed again without a recheck.
+TEST_F(EndpointSessionTest, StartThatWasNotSentIsNotRun) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  const auto answer = this->orders.starts[0].answer;
+  runs::OrderReply reply;
+  reply.outcome = OrderOutcome::kNotSent;
+  answer(reply);
+  ASSERT_EQ(this->ends.size(), 1U);
   EXPECT_EQ(this->ends[0].second, RunOutcome::kNotRun);
+  // The endpoint is asked whether it can be reached.
+  const std::size_t polls = this->orders.polls.size();
+  EXPECT_GT(this->orders.polls.back().order.target.fence,
+            this->orders.starts[0].order.target.fence);
+  for (std::size_t i = polls - 1; i <= polls; ++i) {
+    const auto poll_answer = this->orders.polls.at(i).answer;
+    runs::PollReply poll_reply;
+    poll_reply.order.outcome = OrderOutcome::kNotSent;
+    poll_answer(poll_reply);
+  }
+  EXPECT_EQ(this->session->State(), SessionState::kUnreachable);
 }
 
 // Guards against a breach of "at most once" that leaves no trace in logs and
@@ -604,6 +628,108 @@
   EXPECT_EQ(this->ends.size(), 2U);
 }
 
+// Guards against a start that is carried out after its run has counted as lost
+// (issue 32): an endpoint that was silent until the lease had expired was asked
+// without a token for 1.5 s after it had answered again.
+TEST_F(EndpointSessionTest, LateStartIsRejectedOnceSilentEndpointAnswers) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  ASSERT_EQ(this->ends.size(), 1U);
+  EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  EXPECT_GT(this->orders.polls.back().order.target.fence,
+            this->orders.starts[0].order.target.fence);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  EXPECT_EQ(this->session->State(), SessionState::kReady);
+}
+
+// Guards against the take-over of an endpoint whose new incarnation another
+// process may have claimed: it restarted while it was silent here.
+TEST_F(EndpointSessionTest, SilentEndpointThatRestartedIsProbedWithoutToken) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  this->entry.incarnation_start_ms = this->incarnation_start_ms + 1;
+  this->session->UpdateEntry(this->entry);
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  EXPECT_EQ(this->orders.polls.back().order.target.fence, 0U);
+}
+
+// As above, when no entry has shown the restart.
+TEST_F(EndpointSessionTest, RestartOfSilentEndpointIsClaimedAfterDelay) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  ++this->incarnation_start_ms;
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kAccepted);
+  const std::size_t polls = this->orders.polls.size();
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->orders.polls.size(), polls);
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->orders.polls.size(), polls + 1);
+}
+
+// Guards against an endpoint that is out of use for longer than it was silent:
+// each older poll that failed put off the next one.
+TEST_F(EndpointSessionTest, LateFailureDoesNotPutOffNextPoll) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  this->AnswerStart(0, OrderOutcome::kUnanswered);
+  this->AnswerPoll(2, OrderOutcome::kUnanswered);
+  this->AnswerPoll(3, OrderOutcome::kUnanswered);
+  ASSERT_EQ(this->session->State(), SessionState::kUnreachable);
+  const std::size_t polls = this->orders.polls.size();
+  this->clock.Advance(milliseconds(200));
+  this->AnswerPoll(1, OrderOutcome::kUnanswered);
+  this->clock.Advance(milliseconds(60));
+  EXPECT_EQ(this->orders.polls.size(), polls + 1);
+}
+
+// The token of a process that was cut off does not outrank the claim that
+// another process made meanwhile.
+TEST_F(EndpointSessionTest, SilentEndpointThatWasClaimedIsGivenUp) {
+  this->AnswerPoll(0, OrderOutcome::kAccepted);
+  ASSERT_TRUE(this->Start("a"));
+  std::size_t answered = 1;
+  for (int step = 0; step < 30; ++step) {
+    this->clock.Advance(milliseconds(100));
+    while (answered < this->orders.polls.size()) {
+      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+    }
+  }
+  const std::uint64_t later_claim =
+      runs::FencingTokenGenerator("process#2")
+          .NextClaim(this->clock.WallMilliseconds(), 0);
+  this->clock.Advance(seconds(2));
+  ASSERT_GT(this->orders.polls.size(), answered);
+  EXPECT_LT(this->orders.polls.back().order.target.fence, later_claim);
+  this->AnswerPoll(this->orders.polls.size() - 1, OrderOutcome::kFenced);
+  EXPECT_EQ(this->session->State(), SessionState::kFencedOff);
+}
+
 TEST_F(EndpointSessionTest, EndsAreAcknowledgedImmediately) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
--- a/tests/support/model_endpoint.h
+++ b/tests/support/model_endpoint.h
@@ -34,6 +34,11 @@
   ModelEndpoint(ManualClock& clock, std::string id, bool slow_clock,
                 std::function<void(const RunKey&)> on_start);
 
+  /// Grants each lease from the arrival of its order on, however late that is.
+  /// By PROTOCOL.md, `untilMs` is a time on its clock and a late start is
+  /// refused. Without that, only fencing tokens protect.
+  void GrantLeasesOnArrival() { this->grants_on_arrival = true; }
+
   void SetTask(const std::string& name, const Task& task) {
     this->tasks[name] = task;
   }
@@ -53,6 +58,8 @@
   bool IsAtWork(const RunKey& key) const { return this->runs.contains(key); }
   std::size_t RunCount() const { return this->runs.size(); }
   std::int64_t UsedCpu() const;
+  /// Highest fencing token that this incarnation has seen.
+  std::uint64_t Fence() const { return this->fence; }
   /// Returns another run of the task that is at work, or 0.
   std::uint64_t OtherRunOf(const RunKey& key) const;
   /// Start of the incarnation in Unix milliseconds.
@@ -82,6 +89,7 @@
   ManualClock& clock;
   std::string id;
   bool slow_clock = false;
+  bool grants_on_arrival = false;
   std::function<void(const RunKey&)> on_start;
   std::map<std::string, Task> tasks;
   base::TimePoint start_time;
--- a/tests/support/order_world.h
+++ b/tests/support/order_world.h
@@ -15,6 +15,7 @@
 #include "support/model_endpoint.h"
 #include "support/model_orders.h"
 #include "support/process_clock.h"
+#include "support/start_watch.h"
 
 namespace hawthornwheel::testing {
 
@@ -27,6 +28,8 @@
     /// A second process claims the endpoint within 1 ms of the first.
     bool two_claims = false;
     bool slow_clock = false;
+    /// The endpoint grants leases from the arrival of their orders on.
+    bool lease_on_arrival = false;
     /// Whether a trace of the events is kept.
     bool traced = false;
   };
@@ -41,7 +44,8 @@
   }
   /// Violations from the first one on that a start has caused which was sent to
   /// an earlier incarnation of the endpoint, or while it was down, and which a
-  /// later one has carried out: it knows neither fencing token nor lease.
+  /// later one has carried out: it knows neither fencing token nor lease. A
+  /// start of a run that has ended as kNotRun never counts among them.
   const std::vector<std::string>& OpenViolations() const {
     return this->open_violations;
   }
@@ -57,6 +61,7 @@
     std::string name;
     ProcessClock clock;
     ModelOrders orders;
+    StartWatch watch;
     base::Metrics metrics;
     runs::FencingTokenGenerator tokens;
     std::uint64_t last_fence = 0;
@@ -80,13 +85,16 @@
   void TryPlace(std::size_t index);
   bool PlaceAt(Process& process, std::size_t index);
   void OnEnd(std::size_t index, std::uint64_t run, runs::RunOutcome outcome);
+  void OnList(const Process& process);
   void OnStart(const RunKey& key);
   void PlayEvent(int event);
   void Restart(base::Duration down, bool closes);
   void Pause(std::size_t process, base::Duration span);
+  void Cut(std::size_t process, base::Duration span);
   void StopLatest();
   void CheckEnd();
   void Violate(const std::string& text);
+  void Record(const std::string& text, std::vector<std::string>& list);
   void Note(const std::string& text);
 
   ManualClock clock;
@@ -99,6 +107,8 @@
   /// Whether a violation of the known cause has occurred.
   bool is_open = false;
   std::set<RunKey> ended_runs;
+  /// Runs that have ended as kNotRun.
+  std::set<RunKey> refused_runs;
   /// Runs whose start was sent to an earlier incarnation than the one that has
   /// carried it out.
   std::set<RunKey> overtaken_runs;
