--- a/tests/runs/endpoint_session_test.cc
+++ b/tests/runs/endpoint_session_test.cc
@@ -70,6 +70,20 @@
     return this->session->Start(order, std::move(handlers));
   }
 
+  // Leaves all polls from the second one on without an answer until the lease
+  // has expired. Returns the number of polls so far.
+  std::size_t SilenceUntilLeaseExpires() {
+    constexpr int kSteps = 30;
+    std::size_t answered = 1;
+    for (int step = 0; step < kSteps; ++step) {
+      this->clock.Advance(milliseconds(100));
+      while (answered < this->orders.polls.size()) {
+        this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
+      }
+    }
+    return answered;
+  }
+
   void AnswerStart(std::size_t index, OrderOutcome outcome) {
     const auto answer = this->orders.starts[index].answer;
     answer(outcome == OrderOutcome::kUnanswered ? runs::OrderReply{}
@@ -634,13 +648,7 @@
 TEST_F(EndpointSessionTest, LateStartIsRejectedOnceSilentEndpointAnswers) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
-  std::size_t answered = 1;
-  for (int step = 0; step < 30; ++step) {
-    this->clock.Advance(milliseconds(100));
-    while (answered < this->orders.polls.size()) {
-      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
-    }
-  }
+  const std::size_t answered = this->SilenceUntilLeaseExpires();
   ASSERT_EQ(this->ends.size(), 1U);
   EXPECT_EQ(this->ends[0].second, RunOutcome::kLost);
   this->clock.Advance(seconds(2));
@@ -656,13 +664,7 @@
 TEST_F(EndpointSessionTest, SilentEndpointThatRestartedIsProbedWithoutToken) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
-  std::size_t answered = 1;
-  for (int step = 0; step < 30; ++step) {
-    this->clock.Advance(milliseconds(100));
-    while (answered < this->orders.polls.size()) {
-      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
-    }
-  }
+  const std::size_t answered = this->SilenceUntilLeaseExpires();
   this->entry.incarnation_start_ms = this->incarnation_start_ms + 1;
   this->session->UpdateEntry(this->entry);
   this->clock.Advance(seconds(2));
@@ -674,13 +676,7 @@
 TEST_F(EndpointSessionTest, RestartOfSilentEndpointIsClaimedAfterDelay) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
-  std::size_t answered = 1;
-  for (int step = 0; step < 30; ++step) {
-    this->clock.Advance(milliseconds(100));
-    while (answered < this->orders.polls.size()) {
-      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
-    }
-  }
+  const std::size_t answered = this->SilenceUntilLeaseExpires();
   this->clock.Advance(seconds(2));
   ASSERT_GT(this->orders.polls.size(), answered);
   ++this->incarnation_start_ms;
@@ -713,13 +709,7 @@
 TEST_F(EndpointSessionTest, SilentEndpointThatWasClaimedIsGivenUp) {
   this->AnswerPoll(0, OrderOutcome::kAccepted);
   ASSERT_TRUE(this->Start("a"));
-  std::size_t answered = 1;
-  for (int step = 0; step < 30; ++step) {
-    this->clock.Advance(milliseconds(100));
-    while (answered < this->orders.polls.size()) {
-      this->AnswerPoll(answered++, OrderOutcome::kUnanswered);
-    }
-  }
+  const std::size_t answered = this->SilenceUntilLeaseExpires();
   const std::uint64_t later_claim =
       runs::FencingTokenGenerator("process#2")
           .NextClaim(this->clock.WallMilliseconds(), 0);
