Catalog: set of evacuated failure domains, by offset of the topic

Cause: operators evacuate a failure domain with the key evacuate/DOMAIN of the configuration topic; the catalog ignored it.

Change: catalog::Evacuations holds the set, the revision announced to peers and the offset up to which the topic is known. The set is applied before a configuration of the same read.

Nothing uses the set yet.

--- a/src/libs/catalog/catalog.h
+++ b/src/libs/catalog/catalog.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "catalog/configuration.h"
 #include "catalog/endpoint_entry.h"
+#include "catalog/evacuations.h"
 #include "catalog/metadata_store.h"
 
 namespace hawthornwheel::catalog {
@@ -31,6 +32,11 @@
   std::shared_ptr<const Configuration> configuration;
   /// The configuration as the platform encodes it, for peers.
   std::string configuration_bytes;
+  /// Failure domains in which no task may start.
+  Evacuations evacuations;
+  /// Whether `evacuations` is known: the configuration topic was read, or a
+  /// peer has sent what it knows of it.
+  bool evacuations_known = false;
   std::map<std::string, Endpoint> endpoints;
   /// Offset of the next endpoint record to read.
   std::uint64_t endpoints_offset = 0;
--- a/src/libs/catalog/catalog_controller.cc
+++ b/src/libs/catalog/catalog_controller.cc
@@ -40,8 +40,9 @@
       configuration_follower(
           store, clock,
           {Topic::kConfiguration, "configuration", kConfigurationWait, {}},
-          [this](const std::vector<StoreRecord>& records, bool, std::uint64_t) {
-            this->ReceiveConfiguration(records);
+          [this](const std::vector<StoreRecord>& records, bool is_snapshot,
+                 std::uint64_t next_offset) {
+            this->ReceiveConfiguration(records, is_snapshot, next_offset);
           }),
       endpoint_follower(
           store, clock, {Topic::kEndpoints, "endpoints", {}, kEndpointPause},
@@ -67,13 +68,68 @@
 }
 
 void CatalogController::ReceiveConfiguration(
-    const std::vector<StoreRecord>& records) {
+    const std::vector<StoreRecord>& records, bool is_snapshot,
+    std::uint64_t next_offset) {
+  // First, so that no task starts in an evacuated domain under a configuration
+  // of the same read.
+  this->ReceiveEvacuations(records, is_snapshot, next_offset);
   for (const StoreRecord& record : records) {
     if (record.key != kConfigurationKey || record.value.empty()) continue;
     this->ApplyConfiguration(record.value, "store");
   }
 }
 
+void CatalogController::ReceiveEvacuations(
+    const std::vector<StoreRecord>& records, bool is_snapshot,
+    std::uint64_t next_offset) {
+  std::vector<Evacuations::Record> found;
+  std::set<std::string> listed;
+  for (const StoreRecord& record : records) {
+    auto domain = this->decoder.DecodeEvacuatedDomain(record.key);
+    if (!domain) continue;
+    const bool evacuated = !record.value.empty();
+    if (evacuated) listed.insert(*domain);
+    found.push_back({std::move(*domain), evacuated, record.offset});
+  }
+  const std::set<std::string> before = this->catalog.evacuations.Domains();
+  if (is_snapshot) {
+    this->catalog.evacuations.ApplySnapshot(std::move(listed), next_offset);
+  } else {
+    this->catalog.evacuations.ApplyRecords(found, next_offset);
+  }
+  this->ReportEvacuations(before, "store");
+}
+
+void CatalogController::ApplyEvacuations(std::set<std::string> domains,
+                                         std::uint64_t revision,
+                                         const std::string& source) {
+  const std::set<std::string> before = this->catalog.evacuations.Domains();
+  this->catalog.evacuations.ApplyPeer(std::move(domains), revision);
+  this->ReportEvacuations(before, source);
+}
+
+void CatalogController::SupersedeEvacuations(std::uint64_t revision) {
+  this->catalog.evacuations.Supersede(revision);
+}
+
+// Logs the differences from the set `before` and notifies the listener of them.
+void CatalogController::ReportEvacuations(const std::set<std::string>& before,
+                                          const std::string& source) {
+  const bool was_known = std::exchange(this->catalog.evacuations_known, true);
+  const Evacuations& evacuations = this->catalog.evacuations;
+  for (const std::string& domain : evacuations.Domains()) {
+    if (before.contains(domain)) continue;
+    kLog.Info("Failure domain is evacuated. domain={} revision={} source={}",
+              base::Excerpt(domain), evacuations.Revision(), source);
+  }
+  for (const std::string& domain : before) {
+    if (evacuations.Contains(domain)) continue;
+    kLog.Info("Failure domain is back in use. domain={} revision={} source={}",
+              base::Excerpt(domain), evacuations.Revision(), source);
+  }
+  if (!was_known || before != evacuations.Domains()) this->NotifyListener();
+}
+
 void CatalogController::ApplyConfiguration(const std::string& bytes,
                                            const std::string& source) {
   auto decoded = this->decoder.DecodeConfiguration(bytes);
--- a/src/libs/catalog/catalog_controller.h
+++ b/src/libs/catalog/catalog_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,13 +45,29 @@
   /// cannot be decoded has no effect.
   void ApplyConfiguration(const std::string& bytes, const std::string& source);
 
+  /// Applies the set of evacuated failure domains that a peer announces under
+  /// `revision`; `source` is logged. No effect when the configuration topic is
+  /// known as far here. Must be called before ApplyConfiguration() of the same
+  /// update, so that no task starts in between.
+  void ApplyEvacuations(std::set<std::string> domains, std::uint64_t revision,
+                        const std::string& source);
+
+  /// Announces a newer revision of the evacuations when this process knows the
+  /// topic further than a peer that announces `revision`.
+  void SupersedeEvacuations(std::uint64_t revision);
+
   /// Applies endpoint records that a peer read up to `next_offset`; no effect
   /// when this process has read as far.
   void ApplyEndpoints(const std::vector<StoreRecord>& records,
                       std::uint64_t next_offset);
 
  private:
-  void ReceiveConfiguration(const std::vector<StoreRecord>& records);
+  void ReceiveConfiguration(const std::vector<StoreRecord>& records,
+                            bool is_snapshot, std::uint64_t next_offset);
+  void ReceiveEvacuations(const std::vector<StoreRecord>& records,
+                          bool is_snapshot, std::uint64_t next_offset);
+  void ReportEvacuations(const std::set<std::string>& before,
+                         const std::string& source);
   void ReceiveEndpoints(const std::vector<StoreRecord>& records,
                         bool is_snapshot, std::uint64_t next_offset);
   void ApplyEndpoint(const StoreRecord& record);
--- a/src/libs/catalog/record_decoder.h
+++ b/src/libs/catalog/record_decoder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "base/result.h"
@@ -18,6 +19,12 @@
       const std::string& bytes) const = 0;
   virtual base::Result<EndpointEntry> DecodeEndpoint(
       const std::string& id, const std::string& bytes) const = 0;
+
+  /// Returns the failure domain that a record of the configuration topic with
+  /// this key evacuates, or nothing if the key is of another kind. The text can
+  /// be sent in messages to other processes.
+  virtual std::optional<std::string> DecodeEvacuatedDomain(
+      const std::string& key) const = 0;
 };
 
 }  // namespace hawthornwheel::catalog
--- a/tests/platform/json_record_decoder_test.cc
+++ b/tests/platform/json_record_decoder_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace hawthornwheel::platform {
@@ -113,6 +114,22 @@
   EXPECT_EQ(route->objective_slack, milliseconds(0));
 }
 
+TEST(RecordCodecTest, DecodesEvacuatedDomain) {
+  const JsonRecordDecoder decoder;
+  EXPECT_EQ(decoder.DecodeEvacuatedDomain("evacuate/z-1"), "z-1");
+  EXPECT_EQ(decoder.DecodeEvacuatedDomain("evacuate/a/b c"), "a/b c");
+}
+
+// Guards against other keys of the topic that are taken for evacuations, and
+// against a domain that makes the messages to peers unreadable.
+TEST(RecordCodecTest, OtherKeysEvacuateNothing) {
+  const JsonRecordDecoder decoder;
+  for (const char* key : {"", "config", "evacuate", "evacuate/", "evacuated/z",
+                          "Evacuate/z", " evacuate/z", "evacuate/\xff\xfe"}) {
+    EXPECT_EQ(decoder.DecodeEvacuatedDomain(key), std::nullopt) << key;
+  }
+}
+
 // Checks that the decoder rejects invalid endpoint records, which other
 // programs may write.
 class InvalidEndpointTest : public ::testing::TestWithParam<const char*> {};
--- a/tests/support/plain_decoder.cc
+++ b/tests/support/plain_decoder.cc
@@ -15,6 +15,8 @@
 // default.
 constexpr char kStartPrefix[] = "start=";
 constexpr char kAddressPrefix[] = "address=";
+// Key that evacuates a domain.
+constexpr char kEvacuationPrefix[] = "out:";
 
 }  // namespace
 
@@ -71,4 +73,10 @@
   return entry;
 }
 
+std::optional<std::string> PlainDecoder::DecodeEvacuatedDomain(
+    const std::string& key) const {
+  if (!key.starts_with(kEvacuationPrefix)) return std::nullopt;
+  return key.substr(sizeof(kEvacuationPrefix) - 1);
+}
+
 }  // namespace hawthornwheel::testing
