Cluster: members exchange evacuations, and report all endpoints to evacuated domains

Cause: processes without access to the store have to learn of an evacuation, and members of an evacuated domain knew six endpoints of each other process only, so that all of them would choose the same few.

Change: heartbeats announce the revision; CatalogSync requests and answers the set, before the configuration. HeartbeatSender sends to coordinators of evacuated domains what it sends to its own, and announces tasks that wait in an evacuated domain to all coordinators.

--- a/src/libs/cluster/catalog_sync.h
+++ b/src/libs/cluster/catalog_sync.h
@@ -23,9 +23,11 @@
   CatalogSync(base::Clock& clock, catalog::CatalogController& catalog,
               Sender send);
 
-  /// Requests from `member` the configuration and the endpoints that its last
-  /// heartbeat reports as newer. Endpoints are requested only with
-  /// `wants_endpoints`, and only while they cannot be read from the store.
+  /// Requests from `member` the configuration, the evacuations and the
+  /// endpoints that its last heartbeat reports as newer. Endpoints are
+  /// requested only with `wants_endpoints`, and only while they cannot be read
+  /// from the store. Lets the member request the evacuations from this process
+  /// when those that it reports are outdated.
   void RequestIfNewer(const ClusterBoard::Member& member, bool wants_endpoints);
 
   /// Answers the request of a member with the records that are newer here.
@@ -39,6 +41,8 @@
   catalog::CatalogController& catalog;
   Sender send;
   base::TimePoint last_request;
+  /// Peer address of the member that received the last request.
+  std::string last_requested;
 };
 
 }  // namespace hawthornwheel::cluster
--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -22,8 +22,9 @@
     /// stored in `held` instead, and its peers are dropped.
     wire::MemberHeartbeat last;
     /// Endpoints that it has reported, by id. A member sends all that it holds
-    /// to the coordinators of its own domain. To other processes it sends some
-    /// with free resources, and those of domains other than its own.
+    /// to the coordinators of its own domain and of evacuated domains. To other
+    /// processes it sends some with free resources, and those of domains other
+    /// than its own.
     std::map<std::string, HeldEndpoint> held;
     base::TimePoint first_known;
     base::TimePoint last_heard;
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -101,6 +101,10 @@
               },
               [this](const std::string& address, wire::Envelope envelope) {
                 this->Send(address, std::move(envelope));
+              },
+              [this](const std::string& domain) {
+                return this->parts.catalog.GetCatalog().evacuations.Contains(
+                    domain);
               }}),
       sync(parts.clock, parts.catalog,
            [this](const std::string& address, wire::Envelope envelope) {
@@ -396,6 +400,8 @@
   heartbeat.set_config_version(this->parts.catalog.GetCatalog().Version());
   heartbeat.set_endpoints_offset(
       this->parts.catalog.GetCatalog().endpoints_offset);
+  heartbeat.set_evacuations_revision(
+      this->parts.catalog.GetCatalog().evacuations.Revision());
 }
 
 void ClusterController::SetWeight(std::uint32_t weight) {
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -57,8 +57,8 @@
   /// its endpoints.
   void SetCapacityListener(std::function<void()> listener);
 
-  /// Schedules an update to the coordinators of the domain about changed held
-  /// endpoints.
+  /// Schedules an update about changed held endpoints to the members that
+  /// receive all of them.
   void MarkHeldChanged();
 
   /// Sets whether tasks of this process are waiting for free resources.
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -61,8 +61,17 @@
 }
 
 bool HeartbeatSender::IsUpdateTarget(const ClusterBoard::Member& member) const {
-  return member.live && member.is_coordinator &&
-         this->board.IsSameDomain(member);
+  if (!member.live || !member.is_coordinator) return false;
+  if (this->board.IsSameDomain(member)) return true;
+  // A member of an evacuated domain chooses among the endpoints of all other
+  // domains. If it knew only those of a summary, all such members would choose
+  // the same few.
+  return this->hooks.is_evacuated(member.announce.domain()) &&
+         !this->IsOwnDomainEvacuated();
+}
+
+bool HeartbeatSender::IsOwnDomainEvacuated() const {
+  return this->hooks.is_evacuated(this->board.self.domain());
 }
 
 void HeartbeatSender::Tick() {
@@ -125,10 +134,14 @@
   }
   this->update_urgent = peer_waits;
   this->update_timer.StartOnce(peer_waits ? kUrgentUpdateDelay : kUpdateDelay,
-                               [this] { this->SendUpdate(); });
+                               [this] { this->SendUpdate(false); });
 }
 
-void HeartbeatSender::SendUpdate() {
+// With `announce_waiting`, the update also goes to the members that free the
+// capacity which this process waits for, although they do not use its own.
+void HeartbeatSender::SendUpdate(bool announce_waiting) {
+  const bool to_all_coordinators =
+      announce_waiting && this->IsOwnDomainEvacuated();
   wire::Envelope envelope;
   wire::MemberHeartbeat& heartbeat = *envelope.mutable_member_heartbeat();
   this->hooks.fill_heartbeat(heartbeat);
@@ -138,7 +151,10 @@
       static_cast<std::uint32_t>(kShortInterval / milliseconds(1)));
   if (this->held_writer) this->held_writer(heartbeat, Detail::kChanged);
   for (const auto& [address, member] : this->board.members) {
-    if (this->IsUpdateTarget(member)) this->hooks.send(address, envelope);
+    const bool is_target = to_all_coordinators
+                               ? member.live && member.is_coordinator
+                               : this->IsUpdateTarget(member);
+    if (is_target) this->hooks.send(address, envelope);
   }
 }
 
@@ -148,7 +164,7 @@
       now - this->last_waiting_update < kMinWaitingInterval)
     return;
   this->last_waiting_update = now;
-  this->SendUpdate();
+  this->SendUpdate(true);
 }
 
 }  // namespace hawthornwheel::cluster
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -10,8 +10,9 @@
 
 /// Sends heartbeats: at a short interval to members that exchange tasks or jobs
 /// with this process, at a long interval to the others, and with all held
-/// endpoints only to members that use them. Changes of held endpoints are sent
-/// to the coordinators of the domain between heartbeats.
+/// endpoints only to members that use them: the coordinators of the domain and
+/// those of evacuated domains, which use no endpoints of their own. Changes of
+/// held endpoints are sent to the same members between heartbeats.
 class HeartbeatSender {
  public:
   /// Which endpoints a heartbeat includes.
@@ -36,6 +37,8 @@
     std::function<void(wire::MemberHeartbeat&)> fill_heartbeat;
     /// Sends an envelope to the process at `address`.
     std::function<void(const std::string& address, wire::Envelope)> send;
+    /// Returns whether a failure domain is evacuated.
+    std::function<bool(const std::string& domain)> is_evacuated;
   };
 
   /// References must outlive the sender.
@@ -55,12 +58,12 @@
   /// Sends a heartbeat to one process immediately.
   void SendNow(const std::string& address);
 
-  /// Schedules an update to the coordinators of the domain about changed
-  /// endpoints.
+  /// Schedules an update about changed endpoints to the members that receive
+  /// all of them.
   void MarkHeldChanged();
 
-  /// Sends an update to the coordinators of the domain when tasks of this
-  /// process are waiting, at a limited rate.
+  /// Sends an update to the coordinators whose endpoints this process uses when
+  /// tasks of this process are waiting, at a limited rate.
   void SendTasksWaiting();
 
   /// Returns how long a member that announced `interval` may be silent before
@@ -72,8 +75,9 @@
   Detail DetailFor(const ClusterBoard::Member& member) const;
   void SendTo(const std::string& address, ClusterBoard::Member& member,
               Detail detail);
-  void SendUpdate();
+  void SendUpdate(bool announce_waiting);
   bool IsUpdateTarget(const ClusterBoard::Member& member) const;
+  bool IsOwnDomainEvacuated() const;
 
   base::Clock& clock;
   ClusterBoard& board;
