Runs, jobs: no task starts in an evacuated failure domain

Cause: a holder and a chooser of an endpoint took no notice of evacuations.

Change: the holder closes the sessions, ends held starts as not run, refuses tasks of others and claims nothing in the domain; the chooser leaves the domain out by its own catalog. A process that has neither read the topic nor got a configuration from a peer claims nothing. A job that no endpoint in reach may run is rejected at once while domains are evacuated. Metrics catalog.evacuated_domains (with Metrics::Set) and runs.refused_evacuated; the dump shows the set and its revision.

--- a/src/libs/base/metrics.cc
+++ b/src/libs/base/metrics.cc
@@ -50,6 +50,15 @@
   this->d->counters.emplace(name, amount);
 }
 
+void Metrics::Set(std::string_view name, std::uint64_t value) {
+  const auto found = this->d->counters.find(name);
+  if (found != this->d->counters.end()) {
+    found->second = value;
+    return;
+  }
+  this->d->counters.emplace(name, value);
+}
+
 void Metrics::Observe(std::string_view name, double value) {
   const auto found = this->d->distributions.find(name);
   if (found != this->d->distributions.end()) {
--- a/src/libs/base/metrics.h
+++ b/src/libs/base/metrics.h
@@ -26,6 +26,9 @@
   /// Adds `amount` to a counter.
   void Count(std::string_view name, std::uint64_t amount = 1);
 
+  /// Sets a counter that shows a current state, not a number of events.
+  void Set(std::string_view name, std::uint64_t value);
+
   /// Adds a value to a distribution.
   void Observe(std::string_view name, double value);
 
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -1,8 +1,10 @@
 #include "jobs/fleet_placer.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
+#include "catalog/catalog_controller.h"
 #include "cluster/cluster_controller.h"
 #include "runs/endpoint_pool.h"
 #include "runs/remote_runs.h"
@@ -22,11 +24,18 @@
          kJitterSteps;
 }
 
+bool HasLabel(const std::vector<std::string>& labels,
+              const std::string& label) {
+  return label.empty() ||
+         std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 }  // namespace
 
 FleetPlacer::FleetPlacer(cluster::ClusterController& cluster,
-                         runs::EndpointPool& pool, runs::RemoteRuns& remote)
-    : cluster(cluster), pool(pool), remote(remote) {}
+                         runs::EndpointPool& pool, runs::RemoteRuns& remote,
+                         const catalog::CatalogController& catalog)
+    : cluster(cluster), pool(pool), remote(remote), catalog(catalog) {}
 
 std::vector<Candidate> FleetPlacer::Candidates() const {
   std::vector<Candidate> candidates;
@@ -37,7 +46,7 @@
 
 void FleetPlacer::AddLocal(std::vector<Candidate>& candidates) const {
   for (const auto& [id, session] : this->pool.Sessions()) {
-    if (!session->IsOpen()) continue;
+    if (!session->IsOpen() || this->IsEvacuated(id)) continue;
     Candidate& candidate = candidates.emplace_back();
     candidate.endpoint = id;
     candidate.service = session->Entry().service;
@@ -58,7 +67,7 @@
                                   ? Distance::kSameDomain
                                   : Distance::kOtherDomain;
     for (const auto& [id, held] : member.held) {
-      if (!held.open) continue;
+      if (!held.open || this->IsEvacuated(id)) continue;
       Candidate& candidate = candidates.emplace_back();
       candidate.endpoint = id;
       candidate.service = held.service;
@@ -78,6 +87,56 @@
   }
 }
 
+// Returns whether the catalog of this process shows the endpoint in an
+// evacuated domain. An endpoint that it does not show is as its holder reports.
+bool FleetPlacer::IsEvacuated(const std::string& endpoint) const {
+  const catalog::Catalog& known = this->catalog.GetCatalog();
+  if (known.evacuations.Domains().empty()) return false;
+  const auto found = known.endpoints.find(endpoint);
+  return found != known.endpoints.end() &&
+         known.evacuations.Contains(found->second.entry.domain);
+}
+
+// Returns whether this process or one that it can place tasks at holds the
+// endpoint, or may hold it. A member of another domain lists only some of its
+// endpoints.
+bool FleetPlacer::IsInReach(const catalog::EndpointEntry& entry) const {
+  const cluster::ClusterBoard& board = this->cluster.Board();
+  if (entry.domain == board.self.domain()) return true;
+  if (this->pool.Sessions().contains(entry.id)) return true;
+  return std::any_of(
+      board.members.begin(), board.members.end(), [&entry](const auto& item) {
+        const cluster::ClusterBoard::Member& member = item.second;
+        if (!member.live || !member.is_coordinator) return false;
+        if (!cluster::ClusterBoard::IsReceivedBy(member)) return false;
+        return member.announce.domain() == entry.domain ||
+               member.held.contains(entry.id);
+      });
+}
+
+bool FleetPlacer::IsServed(const TaskRequirements& requirements) const {
+  const catalog::Catalog& known = this->catalog.GetCatalog();
+  if (known.evacuations.Domains().empty() || known.endpoints.empty()) {
+    return true;
+  }
+  for (const auto& [id, endpoint] : known.endpoints) {
+    const catalog::EndpointEntry& entry = endpoint.entry;
+    const bool fits = entry.service == requirements.service &&
+                      HasLabel(entry.labels, requirements.label) &&
+                      requirements.resources.FitsInto(entry.capacity);
+    if (!fits || entry.draining) continue;
+    if (known.evacuations.Contains(entry.domain)) continue;
+    if (this->IsInReach(entry)) return true;
+  }
+  // Peers may hold endpoints that the catalog of this process does not show.
+  const std::vector<Candidate> candidates = this->Candidates();
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&requirements](const Candidate& candidate) {
+                       return candidate.service == requirements.service &&
+                              HasLabel(*candidate.labels, requirements.label);
+                     });
+}
+
 bool FleetPlacer::Place(const Candidate& candidate,
                         const runs::TaskOrder& order,
                         runs::RunHandlers handlers, PlacedRun* placed) {
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <string>
 #include <vector>
 
 #include "jobs/placer.h"
 
+namespace hawthornwheel::catalog {
+class CatalogController;
+struct EndpointEntry;
+}  // namespace hawthornwheel::catalog
 namespace hawthornwheel::cluster {
 class ClusterController;
 }
@@ -15,14 +20,17 @@
 namespace hawthornwheel::jobs {
 
 /// Places tasks at the endpoints of this process and of the other live
-/// processes.
+/// processes, except those that are in evacuated failure domains by the catalog
+/// of this process, whatever their holders report.
 class FleetPlacer final : public Placer {
  public:
   /// References must outlive the placer.
   FleetPlacer(cluster::ClusterController& cluster, runs::EndpointPool& pool,
-              runs::RemoteRuns& remote);
+              runs::RemoteRuns& remote,
+              const catalog::CatalogController& catalog);
 
   std::vector<Candidate> Candidates() const override;
+  bool IsServed(const TaskRequirements& requirements) const override;
   bool Place(const Candidate& candidate, const runs::TaskOrder& order,
              runs::RunHandlers handlers, PlacedRun* placed) override;
   void Stop(const PlacedRun& placed) override;
@@ -31,10 +39,13 @@
  private:
   void AddLocal(std::vector<Candidate>& candidates) const;
   void AddRemote(std::vector<Candidate>& candidates) const;
+  bool IsEvacuated(const std::string& endpoint) const;
+  bool IsInReach(const catalog::EndpointEntry& entry) const;
 
   cluster::ClusterController& cluster;
   runs::EndpointPool& pool;
   runs::RemoteRuns& remote;
+  const catalog::CatalogController& catalog;
 };
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -263,6 +263,11 @@
       this->RetryPlacement();
       continue;
     }
+    if (!this->placer.IsServed(this->RequirementsOf(*job))) {
+      this->Finish(job->request.id, job->UnservedEnd(),
+                   "all endpoints are in evacuated domains or out of reach");
+      continue;
+    }
     if (!CanMeetDeadline(candidates, this->RequirementsOf(*job))) {
       this->Finish(job->request.id, job->UnservedEnd(),
                    "cannot meet the deadline");
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "jobs/candidate.h"
+#include "jobs/endpoint_choice.h"
 #include "runs/task_order.h"
 
 namespace hawthornwheel::jobs {
@@ -27,6 +28,14 @@
   /// capacity.
   virtual std::vector<Candidate> Candidates() const = 0;
 
+  /// Returns whether an endpoint that this process may use can run a task with
+  /// these requirements, now or once it has free capacity. False only if
+  /// failure domains are evacuated and no endpoint elsewhere can.
+  virtual bool IsServed(const TaskRequirements& requirements) const {
+    static_cast<void>(requirements);
+    return true;
+  }
+
   /// Starts a task at `candidate` and stores the run in `placed`. Returns
   /// false, without starting anything, when the endpoint has no free capacity.
   virtual bool Place(const Candidate& candidate, const runs::TaskOrder& order,
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
@@ -79,7 +80,7 @@
         pool({this->clock, this->orders, this->metrics, this->settings.runs,
               this->catalog, this->cluster}),
         remote(this->clock, this->metrics, this->cluster, this->pool),
-        placer(this->cluster, this->pool, this->remote),
+        placer(this->cluster, this->pool, this->remote, this->catalog),
         jobs(this->clock, this->metrics, this->catalog, this->placer,
              this->settings.jobs),
         relay({this->clock, this->metrics, this->catalog, this->cluster,
@@ -237,11 +238,14 @@
 }
 
 std::string PlatformNode::Dump() const {
+  const catalog::Catalog& catalog = this->d->catalog.GetCatalog();
+  const nlohmann::json evacuated = catalog.evacuations.Domains();
   std::string text = fmt::format(
-      R"({{"incarnation":"{}","version":{},"endpoints":{},"jobs":{},"sessions":[)",
-      this->d->cluster.Board().self.incarnation(),
-      this->d->catalog.GetCatalog().Version(),
-      this->d->catalog.GetCatalog().endpoints.size(), this->d->jobs.OpenJobs());
+      R"({{"incarnation":"{}","version":{},"evacuated":{},)"
+      R"("evacuations_revision":{},"endpoints":{},"jobs":{},"sessions":[)",
+      this->d->cluster.Board().self.incarnation(), catalog.Version(),
+      evacuated.dump(), catalog.evacuations.Revision(),
+      catalog.endpoints.size(), this->d->jobs.OpenJobs());
   const char* separator = "";
   for (const auto& [id, session] : this->d->pool.Sessions()) {
     text += fmt::format(
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -72,6 +72,10 @@
 bool EndpointPool::StartTask(const TaskOrder& order, RunHandlers handlers) {
   const auto found = this->sessions.find(order.endpoint);
   if (found == this->sessions.end()) return false;
+  if (this->IsEvacuated(found->second->Entry())) {
+    this->parts.metrics.Count("runs.refused_evacuated");
+    return false;
+  }
   if (this->open_tasks.contains(order.task)) {
     this->parts.metrics.Count("runs.open_elsewhere");
     return false;
@@ -96,6 +100,11 @@
 void EndpointPool::Reconcile() {
   this->ReleaseEndpoints();
   this->ClaimEndpoints();
+  this->ReportEvacuations();
+}
+
+bool EndpointPool::IsEvacuated(const catalog::EndpointEntry& entry) const {
+  return this->parts.catalog.GetCatalog().evacuations.Contains(entry.domain);
 }
 
 bool EndpointPool::ShouldHold(const catalog::EndpointEntry& entry) {
@@ -110,11 +119,15 @@
                 [now](const auto& item) { return item.second <= now; });
   const cluster::ClusterBoard& board = this->parts.cluster.Board();
   if (!board.is_coordinator) return;
+  // A process that has just started must not start tasks in an evacuated domain
+  // for a peer while it cannot know about the evacuation.
+  if (!this->parts.catalog.GetCatalog().evacuations_known) return;
   for (const auto& [id, endpoint] :
        this->parts.catalog.GetCatalog().endpoints) {
     if (this->sessions.contains(id) || this->claim_backoff_until.contains(id))
       continue;
     if (endpoint.entry.draining || endpoint.missing) continue;
+    if (this->IsEvacuated(endpoint.entry)) continue;
     const bool outside = endpoint.entry.domain != board.self.domain();
     if (outside && !this->parts.cluster.AreOtherDomainsKnown()) continue;
     if (!this->ShouldHold(endpoint.entry)) continue;
@@ -144,7 +157,9 @@
     const bool listed = entry != endpoints.end();
     if (listed) session->UpdateEntry(entry->second.entry);
     const bool keep = listed && this->ShouldHold(entry->second.entry);
-    if (keep) {
+    if (this->IsEvacuated(session->Entry())) {
+      this->EvacuateSession(*session);
+    } else if (keep) {
       session->Reopen();
     } else {
       session->Close();
@@ -162,6 +177,31 @@
   }
 }
 
+void EndpointPool::EvacuateSession(EndpointSession& session) {
+  const std::size_t before = session.RunCount();
+  session.Evacuate();
+  const std::size_t refused = before - session.RunCount();
+  if (refused == 0) return;
+  this->parts.metrics.Count("runs.refused_evacuated", refused);
+  kLog.Info(
+      "Held starts are not sent, since their domain is evacuated. endpoint={} "
+      "starts={}",
+      session.Entry().id, refused);
+}
+
+// Tells the other processes, and the tasks that wait here, when the set of
+// evacuated domains has changed.
+void EndpointPool::ReportEvacuations() {
+  const catalog::Evacuations& evacuations =
+      this->parts.catalog.GetCatalog().evacuations;
+  this->parts.metrics.Set("catalog.evacuated_domains",
+                          evacuations.Domains().size());
+  if (this->evacuations_revision == evacuations.Revision()) return;
+  this->evacuations_revision = evacuations.Revision();
+  for (const auto& [id, session] : this->sessions) this->MarkChanged(id);
+  if (this->listener) this->listener();
+}
+
 void EndpointPool::WriteHeld(wire::MemberHeartbeat& heartbeat,
                              cluster::HeartbeatSender::Detail detail) {
   switch (detail) {
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -23,7 +23,9 @@
 
 /// Holds the sessions of the endpoints that this process has claimed. Claims
 /// the endpoints that it should own and that no other process holds, and
-/// releases the others after their runs have ended.
+/// releases the others after their runs have ended. Endpoints of evacuated
+/// domains are not claimed and take no tasks; their sessions stay, so that runs
+/// in progress are followed.
 class EndpointPool {
  public:
   struct Parts {
@@ -68,6 +70,9 @@
   bool ShouldHold(const catalog::EndpointEntry& entry);
   void ClaimEndpoints();
   void ReleaseEndpoints();
+  void EvacuateSession(EndpointSession& session);
+  void ReportEvacuations();
+  bool IsEvacuated(const catalog::EndpointEntry& entry) const;
   void WriteHeld(wire::MemberHeartbeat& heartbeat,
                  cluster::HeartbeatSender::Detail detail);
   void WriteChanged(wire::MemberHeartbeat& heartbeat);
@@ -86,8 +91,10 @@
   /// Fencing tokens of released sessions, by endpoint id. The next claim of the
   /// endpoint uses a higher token.
   std::map<std::string, std::uint64_t> last_fences;
+  /// Revision of the evacuated domains at the last call of Reconcile().
+  std::uint64_t evacuations_revision = 0;
   /// Endpoints whose free resources or state have changed since the last
-  /// update to the failure domain.
+  /// update to other processes.
   std::set<std::string> changed;
   std::function<void()> listener;
   base::Timer reconcile_timer;
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -59,7 +59,12 @@
 
   /// Refuses new tasks until Reopen().
   void Close() { this->closed = true; }
-  /// Accepts new tasks again after Close().
+  /// Like Close(), and ends starts that wait for a list of runs as not run.
+  void Evacuate() {
+    this->Close();
+    this->EndHeld();
+  }
+  /// Accepts new tasks again after Close() or Evacuate().
   void Reopen() { this->closed = false; }
 
   SessionState State() const { return this->state; }
--- a/tests/support/hosted_fleet.cc
+++ b/tests/support/hosted_fleet.cc
@@ -95,6 +95,11 @@
   this->store.Write(catalog::Topic::kConfiguration, "config", configuration);
 }
 
+void HostedFleet::SetEvacuated(const std::string& domain, bool evacuated) {
+  this->store.Write(catalog::Topic::kConfiguration, "out:" + domain,
+                    evacuated ? "{}" : "");
+}
+
 HostedProcess& HostedFleet::AddProcess(const std::string& name,
                                        const std::string& domain,
                                        std::uint32_t weight) {
--- a/tests/support/hosted_fleet.h
+++ b/tests/support/hosted_fleet.h
@@ -49,6 +49,9 @@
   /// routes.
   void Publish(const std::string& configuration);
 
+  /// Publishes that a failure domain is evacuated, or taken back into use.
+  void SetEvacuated(const std::string& domain, bool evacuated);
+
   /// Starts a process. A process whose weight is below half of the highest
   /// weight of its domain becomes an entry: it holds no endpoints and hands
   /// each job to a coordinator of the domain.
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -265,9 +265,14 @@
   };
   this->Send(
       process_domain, order.target, process_clock,
-      [this, order, answer, sent_ms = this->clock.WallMilliseconds()](
-          Endpoint& endpoint, const CallPointer& call) {
+      [this, order, answer, sent = this->clock.Now(),
+       sent_ms = this->clock.WallMilliseconds()](Endpoint& endpoint,
+                                                 const CallPointer& call) {
+        const std::uint64_t starts_before = this->starts;
         const OrderReply reply = this->HandleStart(endpoint, order);
+        if (this->starts != starts_before && this->start_listener) {
+          this->start_listener(endpoint.entry.id, sent);
+        }
         this->Log(endpoint,
                   fmt::format("start task={} run={} token={} lease_until_ms={} "
                               "sent_ms={} outcome={}",
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -117,6 +117,14 @@
     this->log = std::move(new_log);
   }
 
+  /// Receives the id of the endpoint where a task starts, and the time at which
+  /// the order arrived, before it was delayed by Faults.
+  using StartListener =
+      std::function<void(const std::string& endpoint, base::TimePoint arrival)>;
+  void SetStartListener(StartListener on_start) {
+    this->start_listener = std::move(on_start);
+  }
+
   /// Descriptions of all violations so far.
   const std::vector<std::string>& Violations() const {
     return this->violations;
@@ -258,6 +266,7 @@
   std::map<std::string, std::int64_t> cpu;
   std::vector<std::string> violations;
   std::function<void(const std::string&)> log;
+  StartListener start_listener;
   std::uint64_t starts = 0;
   std::map<std::string, std::uint64_t> starts_of;
   std::map<std::string, std::uint64_t> done_of;
