Tests: evacuations are known before routes and claims; sessions reopen at once

Cause: evacuation_test did not fail when the set was applied after the routes of the same update, when a process claimed endpoints before it knew the topic, or when the sessions of a domain that is taken back were reported late.

Change: a test for each; KeyedStore can fail the reads of one topic.

--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -81,8 +81,18 @@
     EXPECT_EQ(used, domains);
   }
 
-  const catalog::Evacuations& EvacuationsAt(const std::string& process) {
-    return this->fleet.Process(process).catalog.GetCatalog().evacuations;
+  // Runs until a process that has just started has routes, and checks that it
+  // knows the evacuation of "north" at each earlier change of its catalog.
+  void ExpectSetBeforeRoutes(HostedProcess& process) {
+    process.catalog.SetListener([&process] {
+      const catalog::Catalog& catalog = process.catalog.GetCatalog();
+      if (catalog.Version() > 0) {
+        EXPECT_TRUE(catalog.evacuations.Contains("north"));
+      }
+      process.pool.Reconcile();
+    });
+    this->fleet.Run(seconds(3));
+    EXPECT_GT(process.catalog.GetCatalog().Version(), 0U);
   }
 
   bool IsKnownEverywhere(const std::string& domain) const {
@@ -209,30 +219,46 @@
   this->ExpectStartsOnlyIn({"east", "south"});
 }
 
-// Failure: a process starts while the store is down. It must know the
-// evacuations as soon as it has a configuration to serve callers by.
-TEST_F(EvacuationTest, ProcessStartedWithoutStoreKnowsTheSetWithItsRoutes) {
+// Failure: a process starts while the store is down. The set and the routes
+// come from peers, the set first, so that no task starts in between.
+TEST_F(EvacuationTest, ProcessStartedWithoutStoreKnowsTheSetBeforeItsRoutes) {
   this->fleet.SetEvacuated("north", true);
   this->fleet.Run(kReadTime);
   this->fleet.store.SetDown("", true);
   this->fleet.Kill("north1");
-  // It knows the others as they knew each other: from the store, once.
-  this->fleet.store.SetDown("", false);
   HostedProcess& process = this->fleet.AddProcess("north1", "north");
-  this->fleet.Run(milliseconds(1));
-  this->fleet.store.SetDown("", true);
-  bool has_routes = false;
-  for (int i = 0; i < 3'000; ++i) {
-    this->fleet.Run(milliseconds(1));
-    const catalog::Catalog& catalog = process.catalog.GetCatalog();
-    if (catalog.Version() == 0) continue;
-    has_routes = true;
-    ASSERT_TRUE(catalog.evacuations.Contains("north")) << i;
-  }
-  EXPECT_TRUE(has_routes);
+  this->ExpectSetBeforeRoutes(process);
   this->ExpectStartsOnlyIn({"east", "south"});
 }
 
+// Failure: a process starts during an evacuation. It reads the set and the
+// routes at the same time.
+TEST_F(EvacuationTest, StartedProcessReadsTheSetBeforeItsRoutes) {
+  this->fleet.SetEvacuated("north", true);
+  this->fleet.Run(kReadTime);
+  this->fleet.Kill("north1");
+  this->ExpectSetBeforeRoutes(this->fleet.AddProcess("north1", "north"));
+}
+
+// Failure: the configuration topic cannot be read when a process starts alone.
+// It must not hold endpoints where it would start the tasks of a peer.
+TEST(EvacuationStartTest, EndpointsAreClaimedWhenEvacuationsAreKnown) {
+  HostedFleet fleet;
+  fleet.SetEvacuated("north", true);
+  fleet.AddEndpoint("north-e0", "north");
+  fleet.store.SetTopicDown(catalog::Topic::kConfiguration, true);
+  HostedProcess& process = fleet.AddProcess("north0", "north");
+  fleet.Run(seconds(5));
+  EXPECT_FALSE(process.catalog.GetCatalog().endpoints.empty());
+  EXPECT_TRUE(process.pool.Sessions().empty());
+  fleet.store.SetTopicDown(catalog::Topic::kConfiguration, false);
+  fleet.Run(seconds(2));
+  EXPECT_TRUE(process.pool.Sessions().empty());
+  fleet.SetEvacuated("north", false);
+  fleet.Run(kReadTime);
+  EXPECT_EQ(fleet.HoldersOf("north-e0"), 1);
+}
+
 // Failure: the history is deleted before a process has read the record, so that
 // only the newest record of each key is left.
 TEST_F(EvacuationTest, CompactedHistoryShowsEvacuationAndItsEnd) {
@@ -347,6 +373,27 @@
   EXPECT_EQ(this->starts["north"], 8);
 }
 
+// Load: the other process of the domain places tasks at endpoints whose
+// sessions stayed. It must know at once that they are open again.
+TEST_F(EvacuationTest, SessionsOfDomainThatIsTakenBackAreReportedAtOnce) {
+  this->fleet.SetEvacuated("north", true);
+  this->fleet.Run(seconds(2));
+  const auto open_at_other = [this] {
+    const auto& board = this->fleet.Process("north0").cluster.Board();
+    const auto& held = board.members.at("north1").held;
+    return std::count_if(held.begin(), held.end(),
+                         [](const auto& item) { return item.second.open; });
+  };
+  EXPECT_EQ(open_at_other(), 0);
+  for (int offset_ms = 0; offset_ms < 200; offset_ms += 40) {
+    this->fleet.SetEvacuated("north", true);
+    this->fleet.Run(seconds(2) + milliseconds(offset_ms));
+    this->fleet.SetEvacuated("north", false);
+    this->fleet.Run(kReadTime + milliseconds(110));
+    EXPECT_GT(open_at_other(), 0) << offset_ms;
+  }
+}
+
 // Failure: at the moment of the change, a start is held back until the endpoint
 // has listed its runs.
 TEST_F(EvacuationTest, HeldStartEndsAsNotRun) {
--- a/tests/support/keyed_store.cc
+++ b/tests/support/keyed_store.cc
@@ -28,6 +28,14 @@
   }
 }
 
+void KeyedStore::SetTopicDown(catalog::Topic topic, bool is_down) {
+  if (is_down) {
+    this->topics_down.insert(topic);
+  } else {
+    this->topics_down.erase(topic);
+  }
+}
+
 bool KeyedStore::IsDown(const std::string& client) const {
   return this->down.contains("") || this->down.contains(client);
 }
--- a/tests/support/keyed_store.h
+++ b/tests/support/keyed_store.h
@@ -29,6 +29,12 @@
   void SetDown(const std::string& client, bool down);
   bool IsDown(const std::string& client) const;
 
+  /// Sets whether all reads of one topic fail.
+  void SetTopicDown(catalog::Topic topic, bool is_down);
+  bool IsTopicDown(catalog::Topic topic) const {
+    return this->topics_down.contains(topic);
+  }
+
   /// Number of reads received, including those that failed.
   std::uint64_t Reads() const { return this->reads; }
 
@@ -45,6 +51,7 @@
   base::Clock& clock;
   std::map<catalog::Topic, TopicState> topics;
   std::set<std::string> down;
+  std::set<catalog::Topic> topics_down;
   std::uint64_t reads = 0;
 };
 
--- a/tests/support/keyed_store_client.cc
+++ b/tests/support/keyed_store_client.cc
@@ -32,7 +32,7 @@
     std::function<void(base::Result<catalog::StorePage>)> done) {
   this->RunAfter(kAnswerDelay, [this, topic, after_key, done] {
     ++this->store.reads;
-    if (this->store.IsDown(this->name)) {
+    if (this->store.IsDown(this->name) || this->store.IsTopicDown(topic)) {
       done(Unavailable());
       return;
     }
@@ -53,7 +53,7 @@
   this->RunAfter(kAnswerDelay, [this, topic, offset, wait, done] {
     ++this->store.reads;
     const auto& state = this->store.topics[topic];
-    if (this->store.IsDown(this->name)) {
+    if (this->store.IsDown(this->name) || this->store.IsTopicDown(topic)) {
       done(Unavailable());
       return;
     }
