Tests: jobs that no endpoint may run, and those that one may run soon

Cause: 24 changes that break one part of the evacuations each were tried, one at a time and not committed (trials). Two were not detected by a test: without the call of the listener a waiting job is answered at the next report of a peer only, and a job was rejected at once although an endpoint outside the domain was out of reach for a moment only.

Change: a test for each of the first two; both now detect their change.

--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -462,6 +462,50 @@
   EXPECT_EQ(count_north(), 0);
 }
 
+// Failure: the only process has a job that waits when its domain is evacuated.
+// No message of a peer makes it look at the job again.
+TEST(EvacuationOfAllTest, WaitingJobIsRejectedAtOnce) {
+  HostedFleet fleet;
+  fleet.Publish("1 /a/:1");
+  fleet.AddEndpoint("north-e0", "north");
+  fleet.AddProcess("north0", "north");
+  fleet.Run(seconds(2));
+  fleet.Submit("north0", kPath, 2, seconds(1));
+  fleet.Run(milliseconds(20));
+  const Answer answer = fleet.Submit("north0", kPath, 1, milliseconds(900));
+  fleet.Run(milliseconds(5));
+  EXPECT_FALSE(answer->has_value());
+  fleet.Process("north0").catalog.ApplyEvacuations({"north"}, 1'000, "test");
+  fleet.Run(milliseconds(1));
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ((*answer)->end, JobEnd::kRejected);
+}
+
+// Failure: the only endpoint outside the evacuated domain does not answer for a
+// moment. It may run jobs again, so these wait as without an evacuation.
+TEST(EvacuationOfAllTest, JobWaitsForUnreachableEndpointOfOtherDomain) {
+  HostedFleet fleet;
+  fleet.Publish("1 /a/:1");
+  for (const std::string domain : {"north", "south"}) {
+    fleet.AddEndpoint(domain + "-e0", domain);
+    fleet.AddProcess(domain + "0", domain);
+  }
+  fleet.Run(seconds(2));
+  fleet.SetEvacuated("north", true);
+  fleet.endpoints.SetSilent("south-e0", true);
+  fleet.Submit("south0", kPath, 1, milliseconds(100));
+  fleet.Run(seconds(2));
+  ASSERT_EQ(fleet.HoldersOf("south-e0"), 0);
+  for (const char* process : {"north0", "south0"}) {
+    const Answer answer = fleet.Submit(process, kPath, 1, milliseconds(900));
+    fleet.Run(milliseconds(100));
+    EXPECT_FALSE(answer->has_value()) << process;
+    fleet.Run(milliseconds(120));
+    ASSERT_TRUE(answer->has_value()) << process;
+    EXPECT_EQ((*answer)->end, JobEnd::kRejected) << process;
+  }
+}
+
 // Failure: the evacuation ended before a process started, and a peer that
 // cannot read the store still has the old set. It must neither bring the set
 // back nor keep it.
