--- a/tests/jobs/evacuation_test.cc
+++ b/tests/jobs/evacuation_test.cc
@@ -578,7 +578,7 @@
   fleet.Run(seconds(3));
   fleet.SetEvacuated("north", true);
   fleet.Run(kPeerTime);
-  for (int offset_ms = 0; offset_ms < 200; offset_ms += 40) {
+  for (int offset_ms = 0; offset_ms < 200; offset_ms += 7) {
     fleet.Run(seconds(2) + milliseconds(offset_ms));
     fleet.Submit("south0", kPath, 2, milliseconds(400));
     fleet.Run(milliseconds(340));
