--- a/tests/base/metrics_test.cc
+++ b/tests/base/metrics_test.cc
@@ -24,6 +24,15 @@
   EXPECT_EQ(metrics.Counter("b"), 0U);
 }
 
+// Guards against a state that is reported as the sum of all states before.
+TEST(MetricsTest, SetReplacesTheValue) {
+  Metrics metrics;
+  metrics.Set("a", 3);
+  metrics.Set("a", 1);
+  EXPECT_EQ(metrics.Counter("a"), 1U);
+  EXPECT_EQ(ReportOf(metrics)["a"], 1);
+}
+
 TEST(MetricsTest, QuantilesAreOmittedBelowNineValues) {
   Metrics metrics;
   for (int i = 0; i < 8; ++i) metrics.Observe("d", 100);
