Soak: evacuations of failure domains

Cause: the fault plan had no evacuations, and nothing checked starts against them.

Change: EvacuationPlan evacuates random domains for 0.02 to 25 s, sometimes all, and one for 15 s after the faults. A task that starts by an order that arrived more than 11 s after the record is a finding, as is a domain that is not used in the phase without faults. That phase has all domains, as before, and lasts 6 s instead of 4 s, so that each domain gets a task.

--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -14,7 +14,13 @@
 // The users' limit for the time until jobs are served again after a total
 // failure.
 constexpr base::Duration kRecoveryTime = seconds(12);
-constexpr base::Duration kFaultFreeTime = seconds(4);
+// Time for which one domain stays evacuated after the recovery, so that starts
+// there are late by any limit.
+constexpr base::Duration kEvacuationTime = seconds(3);
+// All domains are in use. With a domain evacuated, one job that is made to fail
+// can quarantine most of the other endpoints (seed 9102). Long enough for each
+// domain to get a task: of 17 jobs on average, a third arrive there.
+constexpr base::Duration kFaultFreeTime = seconds(6);
 // Covers the longest wait of a caller and the leases of the tasks that are
 // still running then.
 constexpr base::Duration kDrainTime = seconds(6);
@@ -29,6 +35,7 @@
     : environment(clock, options),
       callers(this->environment),
       fault_plan(this->environment),
+      evacuation_plan(this->environment),
       on_end(std::move(on_end)),
       timer(clock) {}
 
@@ -36,6 +43,7 @@
   this->timer.StartOnce(kWarmUpTime, [this] {
     this->callers.Start();
     this->fault_plan.Start();
+    this->evacuation_plan.Start();
     this->timer.StartOnce(this->environment.options.fault_duration,
                           [this] { this->EndFaults(); });
   });
@@ -43,8 +51,10 @@
 
 void SoakRun::EndFaults() {
   this->fault_plan.EndAllFaults();
+  this->evacuation_plan.EndFaults();
   this->callers.ReduceRate();
-  this->timer.StartOnce(kRecoveryTime, [this] {
+  this->timer.StartOnce(kRecoveryTime + kEvacuationTime, [this] {
+    this->evacuation_plan.EndEvacuation();
     this->fault_free_since = this->environment.clock.Now();
     this->timer.StartOnce(kFaultFreeTime, [this] { this->EndLoad(); });
   });
@@ -68,6 +78,7 @@
   add(this->environment.leased_endpoints.Violations());
   add(this->callers.Violations());
   add(this->fault_plan.UnexpectedExits());
+  add(this->evacuation_plan.Violations());
   const double completed_share =
       this->callers.CompletedShareSince(this->fault_free_since);
   if (completed_share < kMinCompletedShare) {
@@ -89,12 +100,12 @@
 }
 
 std::string SoakRun::Summary() const {
-  return fmt::format("{} starts={} faults={} calm_served={:.3f} findings={}",
-                     this->callers.Summary(),
-                     this->environment.leased_endpoints.Starts(),
-                     this->fault_plan.FaultCount(),
-                     this->callers.CompletedShareSince(this->fault_free_since),
-                     this->findings.size());
+  return fmt::format(
+      "{} starts={} faults={} {} calm_served={:.3f} findings={}",
+      this->callers.Summary(), this->environment.leased_endpoints.Starts(),
+      this->fault_plan.FaultCount(), this->evacuation_plan.Summary(),
+      this->callers.CompletedShareSince(this->fault_free_since),
+      this->findings.size());
 }
 
 }  // namespace hawthornwheel::soak
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "soak/evacuation_plan.h"
 #include "soak/fault_plan.h"
 #include "soak/soak_callers.h"
 #include "soak/soak_environment.h"
@@ -29,7 +30,8 @@
   std::string Summary() const;
 
  private:
-  /// Ends the faults, then waits for the recovery and the fault-free phase.
+  /// Ends the faults, then waits for the recovery, during which one domain is
+  /// evacuated, and for the fault-free phase.
   void EndFaults();
   void EndLoad();
   void Check();
@@ -37,6 +39,7 @@
   SoakEnvironment environment;
   SoakCallers callers;
   FaultPlan fault_plan;
+  EvacuationPlan evacuation_plan;
   std::function<void()> on_end;
   base::Timer timer;
   /// Start of the fault-free phase, after the recovery.
