Runs: project run times from the middle of the reported percent

Cause: progress is reported in whole percents, rounded down, so the true progress lies up to one percent higher. The projection used the lower end: a run at 10% after 160 ms was projected to take 1.6 s, 5% too long on average, which missed a deadline of 1.5 s by the rounding alone.

Change: RunProgress uses percent + 0.5, in half percents so that it stays an integer. A run whose percent does not rise still counts as stalled, also at 0%.

--- a/src/libs/runs/run_progress.cc
+++ b/src/libs/runs/run_progress.cc
@@ -1,5 +1,6 @@
 #include "runs/run_progress.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace hawthornwheel::runs {
@@ -8,7 +9,11 @@
 // Minimum interval between two readings. Progress is reported in whole
 // percents, which is too coarse for shorter intervals.
 constexpr base::Duration kMinReadingInterval = std::chrono::milliseconds(90);
-constexpr int kWholePercent = 100;
+// Progress is reported in whole percents, rounded down. The projection uses the
+// middle of the reported percent: with its lower end, a run at 10% would be
+// projected to take 5% too long.
+constexpr int kHalfPercents = 200;
+constexpr int MiddleInHalfPercents(int percent) { return 2 * percent + 1; }
 // Projected remaining time of a run that makes no progress.
 constexpr base::Duration kStalledRemainder = std::chrono::seconds(60);
 
@@ -25,11 +30,14 @@
     return std::nullopt;
   // The projection uses the progress since the last reading, so that a run that
   // stalls after a fast start is detected.
-  const int gained = percent - this->last_percent;
+  const bool stalled = percent <= this->last_percent;
+  const int progress = MiddleInHalfPercents(percent);
   const base::Duration remaining =
-      gained <= 0 ? kStalledRemainder
-                  : elapsed * (kWholePercent - percent) / gained;
+      stalled ? kStalledRemainder
+              : elapsed * std::max(kHalfPercents - progress, 0) /
+                    (progress - this->last_half_percents);
   this->last_percent = percent;
+  this->last_half_percents = progress;
   this->last_read = now;
   return age + remaining;
 }
--- a/src/libs/runs/run_progress.h
+++ b/src/libs/runs/run_progress.h
@@ -19,6 +19,9 @@
  private:
   base::TimePoint started;
   int last_percent = 0;
+  /// Progress at the last reading in half percents: the middle of the percent
+  /// that was reported, or 0 at the start.
+  int last_half_percents = 0;
   base::TimePoint last_read;
 };
 
