Runs: pace by kind of endpoint

Cause: an endpoint's pace was learned from its own runs only, from 1 and with an error of 10% or more, while kinds of endpoints differ by 30%. New and restarted endpoints counted as average, so long tasks were started at slow ones.

Change: runs::KindPaces computes every 0.2 s, from the paces of all endpoints that the process knows, the robust mean of the logarithm of the pace by kind. Candidate::pace is that of the kind, corrected by the endpoint's own deviation. A session begins at the pace of its kind, also after a restart. HeldEndpoint.pace_runs is filled and read; only endpoints with runs of their own count. Where kinds do not differ clearly (15% and four standard errors), or an endpoint has no labels, decisions use its own pace as before.

Tests: support for labels and changed paces in the hosted fleet.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -58,6 +58,7 @@
   held.free = {reported.free_cpu_milli(), reported.free_memory_mb(),
                reported.free_accelerators()};
   held.pace = reported.pace_percent() / kPercent;
+  held.pace_runs = static_cast<int>(reported.pace_runs());
   held.incarnation_start_ms = reported.incarnation_start_ms();
   held.labels.assign(reported.labels().begin(), reported.labels().end());
   return held;
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -42,7 +42,9 @@
     candidate.endpoint = id;
     candidate.service = session->Entry().service;
     candidate.free = session->Free();
-    candidate.pace = session->Health().Pace();
+    candidate.pace = this->pool.Kinds().PaceOf(
+        {session->Entry().service, &session->Entry().labels,
+         session->Health().Pace(), session->Health().PaceRuns()});
     candidate.labels = &session->Entry().labels;
     candidate.incarnation_start_ms = session->Entry().incarnation_start_ms;
   }
@@ -64,7 +66,8 @@
       candidate.service = held.service;
       candidate.holder = address;
       candidate.distance = distance;
-      candidate.pace = held.pace;
+      candidate.pace = this->pool.Kinds().PaceOf(
+          {held.service, &held.labels, held.pace, held.pace_runs});
       candidate.labels = &held.labels;
       candidate.incarnation_start_ms = held.incarnation_start_ms;
       // Under load, most endpoints have no free capacity, and the look-ups
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -250,7 +250,7 @@
         session->Free().cpu_milli, session->Health().Pace());
     separator = ",";
   }
-  text += "]}";
+  text += R"(],"kinds":)" + this->d->pool.Kinds().Dump() + "}";
   return text;
 }
 
--- a/src/libs/runs/endpoint_health.cc
+++ b/src/libs/runs/endpoint_health.cc
@@ -63,6 +63,19 @@
   const double bounded = std::clamp(ratio, kMinPace, kMaxPace);
   this->pace = std::exp((1 - weight) * std::log(this->pace) +
                         weight * std::log(bounded));
+  this->start_weight *= 1 - weight;
+  this->pace_runs = std::min(this->pace_runs + 1, kMaxPaceRuns);
+}
+
+void EndpointHealth::SetStartPace(double new_start) {
+  this->pace *= std::pow(new_start / this->start_pace, this->start_weight);
+  this->start_pace = new_start;
+}
+
+void EndpointHealth::RecordRestart() {
+  this->start_pace = this->pace;
+  this->start_weight = 1;
+  this->pace_runs = 0;
 }
 
 void EndpointHealth::RecordFailure(base::TimePoint now) {
--- a/src/libs/runs/endpoint_health.h
+++ b/src/libs/runs/endpoint_health.h
@@ -30,10 +30,28 @@
   /// Returns the learned ratio of the actual to the declared run time.
   double Pace() const { return this->pace; }
 
+  /// Returns the number of runs behind the pace, at most kMaxPaceRuns.
+  int PaceRuns() const { return this->pace_runs; }
+
+  /// Replaces the value at which the learned pace began, for example by that of
+  /// similar endpoints. What has been learned since keeps its weight.
+  void SetStartPace(double new_start);
+
+  /// Records that the endpoint has restarted: its pace is unknown again. The
+  /// learned one becomes the start value.
+  void RecordRestart();
+
+  static constexpr int kMaxPaceRuns = 255;
+
  private:
   void UpdatePace(double ratio, double weight);
 
   double pace = 1;
+  int pace_runs = 0;
+  /// Value at which the learned pace began, and the weight that it still has in
+  /// the pace.
+  double start_pace = 1;
+  double start_weight = 1;
   /// Exponentially weighted share of failed runs, 0 to 1.
   double failure_share = 0;
   int consecutive_failures = 0;
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -21,6 +21,9 @@
 // again. Without this wait, two processes that do not receive each other's
 // heartbeats would take the endpoint from each other in turns.
 constexpr base::Duration kFencedClaimBackoff = milliseconds(3'000);
+// Interval at which the paces of the kinds of endpoints are computed. A
+// placement pass, which may run for each job, only reads them.
+constexpr base::Duration kKindsInterval = milliseconds(200);
 constexpr double kPercent = 100;
 // Maximum number of endpoints of this process's failure domain in a summary
 // heartbeat: those with the most free CPU. Enough for the tasks that spill over
@@ -40,6 +43,7 @@
   held.set_free_accelerators(static_cast<std::uint32_t>(free.accelerators));
   held.set_pace_percent(
       static_cast<std::uint32_t>(session.Health().Pace() * kPercent));
+  held.set_pace_runs(static_cast<std::uint32_t>(session.Health().PaceRuns()));
   for (const std::string& label : session.Entry().labels) {
     held.add_labels(label);
   }
@@ -51,7 +55,8 @@
     : parts(parts),
       owners(parts.cluster.Board()),
       tokens(parts.cluster.Board().self.incarnation()),
-      reconcile_timer(parts.clock) {}
+      reconcile_timer(parts.clock),
+      kinds_timer(parts.clock) {}
 
 EndpointPool::~EndpointPool() = default;
 
@@ -63,6 +68,8 @@
       });
   this->reconcile_timer.StartPeriodic(kReconcileInterval,
                                       [this] { this->Reconcile(); });
+  this->kinds_timer.StartPeriodic(kKindsInterval,
+                                  [this] { this->UpdateKinds(); });
 }
 
 void EndpointPool::SetListener(std::function<void()> new_listener) {
@@ -127,11 +134,14 @@
         outside ? EndpointSession::ClaimMode::kAfterProbe
                 : EndpointSession::ClaimMode::kAtOnce,
         [this, id = id] {
+          this->SetStartPace(id);
           this->MarkChanged(id);
           if (this->listener) this->listener();
         });
-    kLog.Info("Endpoint is claimed. endpoint={} domain={} fence={}", id,
-              endpoint.entry.domain, this->sessions[id]->Fence());
+    this->SetStartPace(id);
+    kLog.Info("Endpoint is claimed. endpoint={} domain={} fence={} pace={:.2f}",
+              id, endpoint.entry.domain, this->sessions[id]->Fence(),
+              this->sessions[id]->Health().Pace());
   }
 }
 
@@ -225,4 +235,32 @@
   this->parts.cluster.MarkHeldChanged();
 }
 
+void EndpointPool::UpdateKinds() {
+  std::vector<KindPaces::Report> reports;
+  for (const auto& [id, session] : this->sessions) {
+    reports.push_back({session->Entry().service, &session->Entry().labels,
+                       session->Health().Pace(), session->Health().PaceRuns()});
+  }
+  for (const auto& [address, member] : this->parts.cluster.Board().members) {
+    if (!member.live) continue;
+    for (const auto& [id, held] : member.held) {
+      if (!held.open) continue;
+      reports.push_back(
+          {held.service, &held.labels, held.pace, held.pace_runs});
+    }
+  }
+  this->kinds.Update(reports);
+  for (const auto& [id, session] : this->sessions) this->SetStartPace(id);
+  this->kinds.Observe(this->parts.metrics);
+}
+
+// Sets the start value of a session's pace to the pace of the endpoint's kind.
+void EndpointPool::SetStartPace(const std::string& endpoint) {
+  const auto session = this->sessions.find(endpoint);
+  if (session == this->sessions.end()) return;
+  const catalog::EndpointEntry& entry = session->second->Entry();
+  const auto pace = this->kinds.KindPace(entry.service, &entry.labels);
+  if (pace) session->second->SetStartPace(*pace);
+}
+
 }  // namespace hawthornwheel::runs
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -12,6 +12,7 @@
 #include "cluster/endpoint_owners.h"
 #include "cluster/heartbeat_sender.h"
 #include "runs/endpoint_session.h"
+#include "runs/kind_paces.h"
 
 namespace hawthornwheel::catalog {
 class CatalogController;
@@ -60,6 +61,9 @@
     return this->sessions;
   }
 
+  /// Returns the paces of the kinds of endpoints.
+  const KindPaces& Kinds() const { return this->kinds; }
+
   /// Claims and releases endpoints. Runs periodically after Start(), and is
   /// called when an input has changed.
   void Reconcile();
@@ -73,6 +77,8 @@
   void WriteChanged(wire::MemberHeartbeat& heartbeat);
   void WriteSummary(wire::MemberHeartbeat& heartbeat) const;
   void MarkChanged(const std::string& endpoint);
+  void UpdateKinds();
+  void SetStartPace(const std::string& endpoint);
 
   Parts parts;
   cluster::EndpointOwners owners;
@@ -89,8 +95,10 @@
   /// Endpoints whose free resources or state have changed since the last
   /// update to the failure domain.
   std::set<std::string> changed;
+  KindPaces kinds;
   std::function<void()> listener;
   base::Timer reconcile_timer;
+  base::Timer kinds_timer;
 };
 
 }  // namespace hawthornwheel::runs
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -697,6 +697,7 @@
   this->entry_outdated =
       this->entry.incarnation_start_ms != 0 &&
       this->entry.incarnation_start_ms != this->incarnation.StartMs();
+  this->health.RecordRestart();
   const bool was_unreachable = this->state == SessionState::kUnreachable;
   this->SetState(SessionState::kClaiming, "endpoint has restarted");
   // Held runs were placed by the entry of the previous incarnation.
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -65,6 +65,8 @@
   SessionState State() const { return this->state; }
   std::uint64_t Fence() const { return this->fence; }
   const EndpointHealth& Health() const { return this->health; }
+  /// Sets the pace at which the learned one began.
+  void SetStartPace(double pace) { this->health.SetStartPace(pace); }
   std::size_t RunCount() const { return this->runs.size(); }
 
   /// Returns whether the endpoint accepts tasks at present.
--- a/tests/support/hosted_fleet.cc
+++ b/tests/support/hosted_fleet.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornwheel::testing {
 namespace {
@@ -32,7 +33,7 @@
   entry.domain = domain;
   entry.capacity = {cpu_milli, 32'768, 0};
   this->endpoints.Add(entry, pace, clock_rate);
-  this->entries[id] = {domain, cpu_milli, id, false};
+  this->entries[id] = {domain, cpu_milli, id, false, {}};
   this->WriteEntry(id);
 }
 
@@ -44,6 +45,7 @@
     value += fmt::format(" start={}", this->endpoints.IncarnationOf(id));
   }
   if (record.draining) value += " draining";
+  for (const std::string& label : record.labels) value += " label=" + label;
   this->store.Write(catalog::Topic::kEndpoints, id, value);
 }
 
@@ -87,6 +89,12 @@
   this->WriteEntry(id);
 }
 
+void HostedFleet::SetLabels(const std::string& id,
+                            std::vector<std::string> labels) {
+  this->entries.at(id).labels = std::move(labels);
+  this->WriteEntry(id);
+}
+
 void HostedFleet::DeleteEntry(const std::string& id) {
   this->store.Write(catalog::Topic::kEndpoints, id, "");
 }
--- a/tests/support/hosted_fleet.h
+++ b/tests/support/hosted_fleet.h
@@ -24,6 +24,9 @@
                    std::int64_t cpu_milli = 16'000, double pace = 1,
                    double clock_rate = 1);
 
+  /// Rewrites the endpoint's record in the store with these labels.
+  void SetLabels(const std::string& id, std::vector<std::string> labels);
+
   /// Crashes an endpoint and starts it again after `downtime`, with a new
   /// record once the store is up.
   void RestartEndpoint(const std::string& id, LeasedEndpoints::CrashKind kind,
@@ -105,6 +108,7 @@
     std::int64_t cpu_milli = 0;
     std::string address;
     bool draining = false;
+    std::vector<std::string> labels = {};
   };
 
   void WriteEntry(const std::string& id);
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -59,6 +59,11 @@
   void Add(const catalog::EndpointEntry& entry, double pace = 1,
            double clock_rate = 1);
 
+  /// Sets the factor on the run times of all runs that start from now on.
+  void SetPace(const std::string& id, double pace) {
+    this->endpoints.at(id).pace = pace;
+  }
+
   /// Restarts an endpoint: it loses its runs, its lease and its fencing token,
   /// and gets a new incarnation.
   void Restart(const std::string& id);
--- a/tests/support/plain_decoder.h
+++ b/tests/support/plain_decoder.h
@@ -10,7 +10,7 @@
 /// `VERSION ROUTE...`, where a route is `PREFIX:PRIORITY` or
 /// `PREFIX:PRIORITY:TIMEOUT_MS`; all routes lead from
 /// host "h" to service "s". An endpoint is `DOMAIN CPU_MILLI`, optionally
-/// followed by `draining`.
+/// followed by `draining` and by labels as `label=LABEL`.
 class PlainDecoder final : public catalog::RecordDecoder {
  public:
   base::Result<catalog::Configuration> DecodeConfiguration(
