Jobs: expected run times by route

Cause: declared run times of a route are biased and off by exp(0.4 z), and decisions took them for the real ones.

Change: jobs::RunTimeModel learns by route the regression of the logarithm of the real run time at pace 1 on that of the declared one. Sums decay over 200 jobs (each task counts for its share of the job), residuals count up to 2.5 standard deviations. It gives TaskRequirements::estimate and estimate_log_std_dev; under 30 runs of a route, the declared run time and 0.45 as before. The objective stays based on the declared time. An overdue run counts once, with its first projected run time, since most of them have no end.

The pace of an endpoint is still measured against the declared time: declared times determine paces, and paces determine the model, but not the reverse.

The log line of a job that was not completed has expected_ms, the state dump has the routes, and jobs.run_time_error is a new metric.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -42,6 +42,8 @@
     /// Set while the run is being stopped to restart the task at another
     /// endpoint.
     bool moving = false;
+    /// Whether the run time of the task counts for its route already.
+    bool run_time_recorded = false;
     /// Endpoints where a run of the task failed, was lost or was overdue.
     std::set<std::string> avoid;
   };
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "base/logger.h"
@@ -291,9 +292,15 @@
   requirements.far_factor = this->settings.far_factor;
   requirements.resources = job.request.resources;
   requirements.job_task_count = job.request.task_count;
-  requirements.estimate = job.nominal_run_time;
-  requirements.estimate_log_std_dev =
-      job.nominal_run_time_measured ? kMeasuredLogStdDev : kDeclaredLogStdDev;
+  if (job.nominal_run_time_measured) {
+    requirements.estimate = job.nominal_run_time;
+    requirements.estimate_log_std_dev = kMeasuredLogStdDev;
+  } else {
+    const auto expected =
+        this->run_times.Expect(job.route.name, job.nominal_run_time);
+    requirements.estimate = expected.run_time;
+    requirements.estimate_log_std_dev = expected.log_std_dev;
+  }
   const auto nominal_run_time_us =
       std::max<double>(static_cast<double>(job.nominal_run_time.count()), 1);
   requirements.objective_pace =
@@ -303,6 +310,16 @@
   return requirements;
 }
 
+// Records the real or projected run time of a task, once.
+void JobCoordinator::RecordRunTime(const Job& job, Job::Task& task,
+                                   base::Duration run_time) {
+  if (std::exchange(task.run_time_recorded, true)) return;
+  const double error = this->run_times.Record(
+      job.route.name, job.request.estimate, Scale(run_time, 1 / task.pace),
+      job.request.task_count);
+  this->metrics.Observe("jobs.run_time_error", std::abs(error));
+}
+
 JobCoordinator::Placement JobCoordinator::PlaceTasks(
     Job& job, std::vector<Candidate>& candidates) {
   const TaskRequirements requirements = this->RequirementsOf(job);
@@ -339,7 +356,9 @@
   order.payload = job.request.payload;
   order.resources = job.request.resources;
   // The estimate includes the factor for the distance to the data, so that the
-  // pace learned for the endpoint does not.
+  // pace learned for the endpoint does not. It is based on the declared run
+  // time rather than on the expected one, which depends on learned paces: the
+  // two would change each other.
   order.estimate = Scale(job.nominal_run_time, pace / candidate.pace);
   order.time_left = requirements.deadline;
   task.pace = pace;
@@ -408,6 +427,7 @@
     job.has_run = true;
   }
   if (outcome == RunOutcome::kDone) {
+    this->RecordRunTime(job, task, this->clock.Now() - task.placed_at);
     task.state = Job::TaskState::kDone;
     ++job.done_tasks;
     if (job.done_tasks == job.request.task_count) {
@@ -464,6 +484,9 @@
       id, index, run, task.placed_run.endpoint, task.pace,
       expected / milliseconds(1), (job.deadline - now) / milliseconds(1),
       NameOf(action));
+  // Most overdue runs are stopped before their end. Without their projected
+  // run times, the route would seem to have no long runs.
+  if (!stuck) this->RecordRunTime(job, task, expected);
   if (action == OverdueAction::kContinue) return;
   if (action == OverdueAction::kEndJob) {
     this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
@@ -625,16 +648,17 @@
               now > job.objective_end, size);
     return;
   }
-  const FreeRoom room =
-      CountFreeRoom(this->placer.Candidates(), this->RequirementsOf(job));
+  const TaskRequirements requirements = this->RequirementsOf(job);
+  const FreeRoom room = CountFreeRoom(this->placer.Candidates(), requirements);
   kLog.Info(
       "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
-      "done={} waiting={} slowest_pace={:.2f} room={} room_in_time={} "
-      "ahead={} left_ms={} retry_after_ms={}",
+      "expected_ms={} done={} waiting={} slowest_pace={:.2f} room={} "
+      "room_in_time={} ahead={} left_ms={} retry_after_ms={}",
       job.request.id, job.route.name, job.config_version, NameOf(end), cause,
-      age_ms, size, job.done_tasks, job.waiting_tasks, job.SlowestPace(),
-      room.tasks, room.tasks_in_time, this->TasksAheadOf(job),
-      (job.deadline - now) / milliseconds(1), retry_after / milliseconds(1));
+      age_ms, size, requirements.estimate / milliseconds(1), job.done_tasks,
+      job.waiting_tasks, job.SlowestPace(), room.tasks, room.tasks_in_time,
+      this->TasksAheadOf(job), (job.deadline - now) / milliseconds(1),
+      retry_after / milliseconds(1));
 }
 
 // Returns the number of tasks that wait before those of `job`.
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -14,6 +14,7 @@
 #include "jobs/job_settings.h"
 #include "jobs/overdue_action.h"
 #include "jobs/retry_advisor.h"
+#include "jobs/run_time_model.h"
 
 namespace hawthornwheel::base {
 class Metrics;
@@ -69,6 +70,9 @@
   /// more capacity may be free.
   void SchedulePlacement();
 
+  /// Returns what was learned about the run times of each route.
+  const RunTimeModel& RunTimes() const { return this->run_times; }
+
   /// Returns the number of jobs in flight.
   std::size_t OpenJobs() const { return this->jobs.size(); }
 
@@ -117,6 +121,7 @@
   OverdueAction ActionFor(const Job::Task& task, TaskRequirements requirements,
                           bool may_end_here) const;
   TaskRequirements RequirementsOf(const Job& job) const;
+  void RecordRunTime(const Job& job, Job::Task& task, base::Duration run_time);
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
   void Finish(const std::string& id, JobEnd end, const char* cause);
@@ -134,6 +139,7 @@
   Placer& placer;
   const JobSettings& settings;
   RetryAdvisor advisor;
+  RunTimeModel run_times;
   std::map<std::string, JobPointer> jobs;
   /// Answers of jobs that were completed or failed in the last seconds, for
   /// callers that submit a job again.
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -250,7 +250,8 @@
         session->Free().cpu_milli, session->Health().Pace());
     separator = ",";
   }
-  text += R"(],"kinds":)" + this->d->pool.Kinds().Dump() + "}";
+  text += R"(],"kinds":)" + this->d->pool.Kinds().Dump() + R"(,"routes":)" +
+          this->d->jobs.RunTimes().Dump() + "}";
   return text;
 }
 
