Jobs: decisions about overdue runs in a class of their own

The decision is to depend on the value of the capacity that the run uses, and needs tests of its own.

Change: OverduePolicy decides by the projection, the requirements of the task and the candidates. CanEndInTime() moves there from endpoint_choice.cc, since nothing else used it, and ProbabilityBelow() to log_normal.h. No decision changes.

--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -1,9 +1,10 @@
 #include "jobs/endpoint_choice.h"
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 
+#include "jobs/log_normal.h"
+
 namespace hawthornwheel::jobs {
 namespace {
 
@@ -71,14 +72,6 @@
          requirements.resources.FitsInto(candidate.free);
 }
 
-// Returns the probability that a value stays below `ratio` times its estimate.
-// The logarithm of the value is normally distributed around that of the
-// estimate with the standard deviation `log_std_dev`.
-double ProbabilityBelow(double ratio, double log_std_dev) {
-  if (ratio <= 0) return 0;
-  return 0.5 * std::erfc(-std::log(ratio) / (log_std_dev * std::sqrt(2.0)));
-}
-
 double DeadlineProbability(double pace, const TaskRequirements& requirements) {
   const double expected =
       std::max(static_cast<double>(requirements.estimate.count()) * pace, 1.0);
@@ -185,12 +178,6 @@
   return room;
 }
 
-bool CanEndInTime(base::Duration remaining, base::Duration left) {
-  const double ratio = static_cast<double>(left.count()) /
-                       std::max(static_cast<double>(remaining.count()), 1.0);
-  return ProbabilityBelow(ratio, kMeasuredLogStdDev) >= kMinDeadlineProbability;
-}
-
 bool CanMeetDeadline(const std::vector<Candidate>& candidates,
                      const TaskRequirements& requirements) {
   return DeadlineProbability(BestPace(candidates, requirements),
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -73,10 +73,6 @@
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
                        const TaskRequirements& requirements);
 
-/// Returns whether a run that needs `remaining` more time by its progress is
-/// likely to end within `left`.
-bool CanEndInTime(base::Duration remaining, base::Duration left);
-
 /// Returns whether the fastest endpoint for the task would be likely to run it
 /// in time if it had free capacity.
 bool CanMeetDeadline(const std::vector<Candidate>& candidates,
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -7,6 +7,7 @@
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
+#include "jobs/overdue_policy.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -30,11 +31,6 @@
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
 constexpr base::Duration kExpiryInterval = seconds(1);
-// Time to stop a run and to start the task at another endpoint.
-constexpr base::Duration kMoveTime = milliseconds(70);
-// A task that is projected to take more than this many times its nominal run
-// time is stuck. The projection is then not used as its run time.
-constexpr int kStuckRunTimeFactor = 8;
 // Retry time for jobs of routes that require a placement hint. These are not
 // supported yet; an update may change that.
 constexpr base::Duration kUnsupportedRetry = seconds(60);
@@ -445,19 +441,13 @@
   if (task.state != Job::TaskState::kPlaced || task.run != run || task.moving) {
     return;
   }
-  const base::Duration nominal_run_time = Scale(expected, 1 / task.pace);
-  const bool stuck =
-      nominal_run_time > kStuckRunTimeFactor * job.nominal_run_time;
-  TaskRequirements requirements = this->RequirementsOf(job);
-  if (!stuck) {
-    requirements.estimate = nominal_run_time;
-    requirements.estimate_log_std_dev = kMeasuredLogStdDev;
-  }
-  requirements.deadline -= kMoveTime;
   const base::TimePoint now = this->clock.Now();
-  const OverdueAction action = this->ActionFor(
-      task, requirements,
-      CanEndInTime(task.placed_at + expected - now, job.deadline - now));
+  TaskRequirements requirements = this->RequirementsOf(job);
+  requirements.avoid = &task.avoid;
+  OverduePolicy policy(this->placer.Candidates());
+  const auto [action, nominal_run_time] = policy.Decide(
+      {task.placed_run.endpoint, now - task.placed_at, expected, task.pace},
+      requirements);
   kLog.Info(
       "Task is overdue. job={} task={} run={} endpoint={} pace={:.2f} "
       "expected_ms={} left_ms={} action={}",
@@ -469,8 +459,8 @@
     this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
     return;
   }
-  if (!stuck) {
-    job.nominal_run_time = nominal_run_time;
+  if (nominal_run_time) {
+    job.nominal_run_time = *nominal_run_time;
     job.nominal_run_time_measured = true;
   }
   task.moving = true;
@@ -479,28 +469,6 @@
   this->placer.Stop(task.placed_run);
 }
 
-// Decides about an overdue run. `requirements` are those of a new run of the
-// task at another endpoint; `may_end_here` tells whether the run may still end
-// in time.
-OverdueAction JobCoordinator::ActionFor(const Job::Task& task,
-                                        TaskRequirements requirements,
-                                        bool may_end_here) const {
-  std::set<std::string> avoid = task.avoid;
-  avoid.insert(task.placed_run.endpoint);
-  requirements.avoid = &avoid;
-  std::vector<Candidate> candidates = this->placer.Candidates();
-  const Candidate* better = ChooseEndpoint(candidates, requirements);
-  if (better != nullptr &&
-      Scale(requirements.estimate, PaceFor(*better, requirements)) <
-          requirements.deadline) {
-    return OverdueAction::kMove;
-  }
-  if (may_end_here) return OverdueAction::kContinue;
-  return CanMeetDeadline(candidates, requirements)
-             ? OverdueAction::kWaitForEndpoint
-             : OverdueAction::kEndJob;
-}
-
 void JobCoordinator::ArmTimer(Job& job) {
   const base::TimePoint due = job.MayHaveRun()
                                   ? job.deadline
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -12,7 +12,6 @@
 #include "jobs/job.h"
 #include "jobs/job_gateway.h"
 #include "jobs/job_settings.h"
-#include "jobs/overdue_action.h"
 #include "jobs/retry_advisor.h"
 
 namespace hawthornwheel::base {
@@ -114,8 +113,6 @@
                 runs::RunOutcome outcome, const std::string& endpoint);
   void OnOverdue(Job& job, std::size_t index, std::uint64_t run,
                  base::Duration expected);
-  OverdueAction ActionFor(const Job::Task& task, TaskRequirements requirements,
-                          bool may_end_here) const;
   TaskRequirements RequirementsOf(const Job& job) const;
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
