Jobs: value of free capacity by kind of endpoint

Cause: each threshold of the placement is a constant that assumes scarce capacity: the cost of a fast endpoint, the lowest chance of a run that continues.

Change: CapacityValue computes one figure for a service and kind, from 0 (plenty is free) to 1 (nothing is free, or tasks wait for the little that is), once per pass from its candidates. Placer::TasksWait() tells whether tasks wait in this process or, by the heartbeats, in another. The kind is the label that most candidates of the service carry. Where kinds do not differ in pace the value is 1, which is the decision of before. Of other domains a process knows mainly free endpoints, so these count only when the own domain has none. The state dump shows the values. Nothing uses them yet.

--- a/src/libs/jobs/candidate.h
+++ b/src/libs/jobs/candidate.h
@@ -28,6 +28,8 @@
   /// Cost that differs between processes, so that processes that see the same
   /// free capacity do not all request the same endpoint.
   double jitter_cost = 0;
+  /// Value of the capacity of its kind, 0 to 1; see CapacityValue.
+  double capacity_value = 1;
   /// Ratio of the learned run time to the declared one; above 1 is slower.
   double pace = 1;
   /// Labels of the endpoint; null for none.
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -1,5 +1,6 @@
 #include "jobs/fleet_placer.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -102,4 +103,13 @@
   this->cluster.SetTasksWaiting(waiting);
 }
 
+bool FleetPlacer::TasksWait() const {
+  const cluster::ClusterBoard& board = this->cluster.Board();
+  return board.tasks_waiting ||
+         std::any_of(board.members.begin(), board.members.end(),
+                     [](const auto& item) {
+                       return item.second.live && item.second.last.wanting();
+                     });
+}
+
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -27,6 +27,7 @@
              runs::RunHandlers handlers, PlacedRun* placed) override;
   void Stop(const PlacedRun& placed) override;
   void SetTasksWaiting(bool waiting) override;
+  bool TasksWait() const override;
 
  private:
   void AddLocal(std::vector<Candidate>& candidates) const;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -243,7 +243,7 @@
             [](const JobPointer& a, const JobPointer& b) {
               return IsPlacedBefore(*a, *b);
             });
-  std::vector<Candidate> candidates = this->placer.Candidates();
+  std::vector<Candidate> candidates = this->ValuedCandidates();
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
     if (!job->IsAwaited()) {
@@ -278,6 +278,29 @@
                               [this] { this->SchedulePlacement(); });
 }
 
+// Returns the candidates with the value of their capacity.
+std::vector<Candidate> JobCoordinator::ValuedCandidates() const {
+  std::vector<Candidate> candidates = this->placer.Candidates();
+  CapacityValue(candidates, this->SizesInFlight(), this->placer.TasksWait())
+      .SetIn(candidates);
+  return candidates;
+}
+
+std::vector<CapacityValue::Kind> JobCoordinator::CapacityByKind() const {
+  return CapacityValue(this->placer.Candidates(), this->SizesInFlight(),
+                       this->placer.TasksWait())
+      .Kinds();
+}
+
+TaskSizes JobCoordinator::SizesInFlight() const {
+  TaskSizes sizes;
+  for (const auto& [id, job] : this->jobs) {
+    sizes.Add(job->route.service, job->request.resources,
+              job->request.task_count);
+  }
+  return sizes;
+}
+
 TaskRequirements JobCoordinator::RequirementsOf(const Job& job) const {
   const base::TimePoint now = this->clock.Now();
   TaskRequirements requirements;
@@ -444,7 +467,7 @@
   const base::TimePoint now = this->clock.Now();
   TaskRequirements requirements = this->RequirementsOf(job);
   requirements.avoid = &task.avoid;
-  OverduePolicy policy(this->placer.Candidates());
+  OverduePolicy policy(this->ValuedCandidates());
   const auto [action, nominal_run_time] = policy.Decide(
       {task.placed_run.endpoint, now - task.placed_at, expected, task.pace},
       requirements);
@@ -594,7 +617,7 @@
     return;
   }
   const FreeRoom room =
-      CountFreeRoom(this->placer.Candidates(), this->RequirementsOf(job));
+      CountFreeRoom(this->ValuedCandidates(), this->RequirementsOf(job));
   kLog.Info(
       "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
       "done={} waiting={} slowest_pace={:.2f} room={} room_in_time={} "
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/timer.h"
+#include "jobs/capacity_value.h"
 #include "jobs/endpoint_choice.h"
 #include "jobs/job.h"
 #include "jobs/job_gateway.h"
@@ -68,6 +69,9 @@
   /// more capacity may be free.
   void SchedulePlacement();
 
+  /// Returns the value of the capacity that is known at present, by kind.
+  std::vector<CapacityValue::Kind> CapacityByKind() const;
+
   /// Returns the number of jobs in flight.
   std::size_t OpenJobs() const { return this->jobs.size(); }
 
@@ -113,6 +117,8 @@
                 runs::RunOutcome outcome, const std::string& endpoint);
   void OnOverdue(Job& job, std::size_t index, std::uint64_t run,
                  base::Duration expected);
+  std::vector<Candidate> ValuedCandidates() const;
+  TaskSizes SizesInFlight() const;
   TaskRequirements RequirementsOf(const Job& job) const;
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -37,6 +37,10 @@
 
   /// Sets whether tasks wait for free capacity.
   virtual void SetTasksWaiting(bool waiting) = 0;
+
+  /// Returns whether tasks wait for free capacity, in this process or, by their
+  /// latest reports, in others.
+  virtual bool TasksWait() const { return false; }
 };
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -250,6 +250,15 @@
         session->Free().cpu_milli, session->Health().Pace());
     separator = ",";
   }
+  text += R"(],"capacity":[)";
+  separator = "";
+  for (const auto& kind : this->d->jobs.CapacityByKind()) {
+    text += fmt::format(
+        R"({}{{"service":"{}","kind":"{}","endpoints":{},"free_share":{:.2f},"value":{:.2f}}})",
+        separator, kind.service, kind.kind, kind.endpoints, kind.free_share,
+        kind.value);
+    separator = ",";
+  }
   text += "]}";
   return text;
 }
