Jobs: a fast endpoint costs what its kind is worth

Cause: the cost of a fast endpoint (0.08 at pace 1) was the same whether long tasks needed it or it was empty. A task of 760 ms ran at an endpoint of pace 1, since it fitted more closely there, while fast endpoints were empty.

Change: the cost is multiplied by the value of the endpoint's kind. A tenth remains, so that short tasks leave fast endpoints free when everything else is equal. Reserve() keeps 0.3. The distribution jobs.capacity_value shows the value at each placement.

--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -1,6 +1,7 @@
 #include "jobs/endpoint_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 #include "jobs/log_normal.h"
@@ -22,9 +23,12 @@
 // Value of an answer that meets the deadline but misses the objective; one
 // that meets both has the value 1.
 constexpr double kLateAnswerValue = 0.2;
-// Cost of an endpoint of pace 1; one that is twice as fast costs twice as much,
-// since longer tasks may need it.
+// Cost of an endpoint of pace 1 when endpoints of its kind are scarce; one that
+// is twice as fast costs twice as much, since longer tasks may need it.
 constexpr double kFastEndpointCost = 0.08;
+// Share of this cost that remains when plenty of its kind are free, so that
+// everything else equal, short tasks still leave fast endpoints free.
+constexpr double kFreeEndpointCostShare = 0.1;
 // Weight of the CPU that a task leaves on an endpoint, where it may be
 // unusable, in multiples of the CPU that the task needs, at most 2.
 constexpr double kLeftoverCpuWeight = 0.02;
@@ -33,8 +37,12 @@
 // Minimum probability of meeting the deadline for a task to be started.
 constexpr double kMinDeadlineProbability = 0.1;
 // Minimum probability of meeting the deadline at an endpoint, as a share of the
-// probability at the fastest one. Below it, the task waits for a faster one.
+// probability at the fastest one, when endpoints of its kind are scarce and
+// when plenty are free. Below it, the task waits for a faster one. It is not
+// lower when plenty are free, since a task that has started at a slow endpoint
+// no longer gets the next fast one.
 constexpr double kMinShareOfBestProbability = 0.3;
+constexpr double kMinShareWhenFree = 0.2;
 
 double DistanceCost(Distance distance, int job_task_count) {
   const double tasks = std::max(job_task_count, 1);
@@ -92,13 +100,24 @@
   return best.value_or(kAssumedBestPace);
 }
 
-// Returns the lowest probability of meeting the deadline at which the task is
-// started at an endpoint.
-double MinProbability(const std::vector<Candidate>& candidates,
-                      const TaskRequirements& requirements) {
-  const double best =
-      DeadlineProbability(BestPace(candidates, requirements), requirements);
-  return std::max(kMinDeadlineProbability, kMinShareOfBestProbability * best);
+// Returns the probability of meeting the deadline at the fastest endpoint where
+// the task may run.
+double BestProbability(const std::vector<Candidate>& candidates,
+                       const TaskRequirements& requirements) {
+  return DeadlineProbability(BestPace(candidates, requirements), requirements);
+}
+
+// Returns the lowest probability of meeting the deadline at which a task is
+// started at an endpoint whose capacity has the value `capacity_value`.
+double MinProbability(double best_probability, double capacity_value) {
+  const double share =
+      std::lerp(kMinShareWhenFree, kMinShareOfBestProbability, capacity_value);
+  return std::max(kMinDeadlineProbability, share * best_probability);
+}
+
+double FastEndpointCost(const Candidate& candidate) {
+  return kFastEndpointCost / candidate.pace *
+         std::lerp(kFreeEndpointCostShare, 1.0, candidate.capacity_value);
 }
 
 double Score(const Candidate& candidate, const TaskRequirements& requirements,
@@ -113,7 +132,7 @@
                           requirements.resources.cpu_milli) /
       std::max<double>(static_cast<double>(requirements.resources.cpu_milli),
                        1);
-  return expected_value - kFastEndpointCost / candidate.pace -
+  return expected_value - FastEndpointCost(candidate) -
          DistanceCost(candidate.distance, requirements.job_task_count) -
          candidate.jitter_cost -
          kLeftoverCpuWeight * std::min(leftover_ratio, 2.0);
@@ -130,7 +149,7 @@
 
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements) {
-  const double min_probability = MinProbability(candidates, requirements);
+  const double best_probability = BestProbability(candidates, requirements);
   Candidate* best = nullptr;
   double best_score = 0;
   for (Candidate& candidate : candidates) {
@@ -138,7 +157,9 @@
     if (!IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
     const double probability = DeadlineProbability(pace, requirements);
-    if (probability < min_probability) continue;
+    if (probability <
+        MinProbability(best_probability, candidate.capacity_value))
+      continue;
     const double score = Score(candidate, requirements, pace, probability);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
@@ -149,7 +170,8 @@
 
 void Reserve(std::vector<Candidate>& candidates,
              const TaskRequirements& requirements) {
-  const double min_probability = MinProbability(candidates, requirements);
+  const double min_probability =
+      MinProbability(BestProbability(candidates, requirements), 1);
   for (Candidate& candidate : candidates) {
     if (candidate.free.cpu_milli <= 0) continue;
     if (!IsAllowed(candidate, requirements)) continue;
@@ -161,7 +183,7 @@
 
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
                        const TaskRequirements& requirements) {
-  const double min_probability = MinProbability(candidates, requirements);
+  const double best_probability = BestProbability(candidates, requirements);
   FreeRoom room;
   for (const Candidate& candidate : candidates) {
     if (!HasRoom(candidate, requirements)) continue;
@@ -172,8 +194,10 @@
             : 1;
     room.tasks += tasks;
     const double pace = PaceFor(candidate, requirements);
-    if (DeadlineProbability(pace, requirements) >= min_probability)
+    if (DeadlineProbability(pace, requirements) >=
+        MinProbability(best_probability, candidate.capacity_value)) {
       room.tasks_in_time += tasks;
+    }
   }
   return room;
 }
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -52,7 +52,8 @@
 /// likely to. The score is the expected value of the answer, which follows
 /// from the probabilities of meeting the deadline and the objective there, less
 /// the costs of a fast endpoint, a distant holder, jitter and leftover CPU. As
-/// a result, long tasks go to fast endpoints, and short tasks leave those free.
+/// a result, long tasks go to fast endpoints, and short tasks leave those free
+/// as far as they are scarce (Candidate::capacity_value).
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements);
 
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -371,6 +371,7 @@
     return false;
   }
   candidate.free -= order.resources;
+  this->metrics.Observe("jobs.capacity_value", candidate.capacity_value);
   task.state = Job::TaskState::kPlaced;
   --job.waiting_tasks;
   task.placed_at = this->clock.Now();
