Jobs: overdue runs go on while their place is not needed

Cause: a run was ended when its chance to end in time was below 10%, whether tasks waited for its place or 100 to 200 places were free. The chance took a projection from whole percents as exact, and a second reading counted only the progress since the first one, which is rounded twice.

Change: OverduePolicy lets a run go on down to a chance of 1% when plenty of its kind are free, and 10% as before when none is, or tasks wait for the little that is. A run below that is stopped at once as before. The log line has chance, min_chance and value; new counters jobs.overdue_runs_spared and jobs.overdue_runs_ended.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -13,6 +13,7 @@
 #include "jobs/job_answer.h"
 #include "jobs/job_request.h"
 #include "jobs/placer.h"
+#include "jobs/run_projection.h"
 
 namespace hawthornwheel::jobs {
 
@@ -39,6 +40,8 @@
     base::TimePoint placed_at;
     /// Pace of the task at the endpoint where it was placed; see PaceFor().
     double pace = 1;
+    /// Projections of the latest run that showed it to be overdue.
+    RunProjection projection;
     /// Set while the run is being stopped to restart the task at another
     /// endpoint.
     bool moving = false;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -362,6 +362,7 @@
   order.estimate = Scale(job.nominal_run_time, pace / candidate.pace);
   order.time_left = requirements.deadline;
   task.pace = pace;
+  task.projection = {};
   task.moving = false;
   const bool placed = this->placer.Place(
       candidate, order, this->HandlersFor(job, index, order.endpoint),
@@ -466,25 +467,30 @@
     return;
   }
   const base::TimePoint now = this->clock.Now();
+  task.projection.Add(now - task.placed_at, expected);
+  const OverdueRun overdue{task.placed_run.endpoint, expected, task.pace,
+                           task.projection.ChanceToEndIn(job.deadline - now)};
   TaskRequirements requirements = this->RequirementsOf(job);
   requirements.avoid = &task.avoid;
-  OverduePolicy policy(this->ValuedCandidates());
-  const auto [action, nominal_run_time] = policy.Decide(
-      {task.placed_run.endpoint, now - task.placed_at, expected, task.pace},
-      requirements);
+  const OverdueDecision decision =
+      OverduePolicy(this->ValuedCandidates()).Decide(overdue, requirements);
   kLog.Info(
       "Task is overdue. job={} task={} run={} endpoint={} pace={:.2f} "
-      "expected_ms={} left_ms={} action={}",
-      id, index, run, task.placed_run.endpoint, task.pace,
-      expected / milliseconds(1), (job.deadline - now) / milliseconds(1),
-      NameOf(action));
-  if (action == OverdueAction::kContinue) return;
-  if (action == OverdueAction::kEndJob) {
+      "expected_ms={} left_ms={} chance={:.3f} min_chance={:.3f} value={:.2f} "
+      "action={}",
+      id, index, run, overdue.endpoint, task.pace, expected / milliseconds(1),
+      (job.deadline - now) / milliseconds(1), overdue.chance,
+      decision.min_chance, decision.value, NameOf(decision.action));
+  if (OverduePolicy::IsSpared(overdue, decision))
+    this->metrics.Count("jobs.overdue_runs_spared");
+  if (decision.action == OverdueAction::kContinue) return;
+  if (decision.action == OverdueAction::kEndJob) {
+    this->metrics.Count("jobs.overdue_runs_ended");
     this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
     return;
   }
-  if (nominal_run_time) {
-    job.nominal_run_time = *nominal_run_time;
+  if (decision.nominal_run_time) {
+    job.nominal_run_time = *decision.nominal_run_time;
     job.nominal_run_time_measured = true;
   }
   task.moving = true;
--- a/src/libs/jobs/overdue_policy.cc
+++ b/src/libs/jobs/overdue_policy.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <set>
 #include <utility>
 
-#include "jobs/log_normal.h"
-
 namespace hawthornwheel::jobs {
 namespace {
 
@@ -17,32 +16,27 @@
 // A task that is projected to take more than this many times its nominal run
 // time is stuck. The projection is then not used as its run time.
 constexpr int kStuckRunTimeFactor = 8;
-// Minimum probability of meeting the deadline for a run to continue.
-constexpr double kMinChance = 0.1;
+// Lowest chance of a run to end in time at which it continues, when nothing of
+// its kind is free and when plenty is.
+constexpr double kMinChanceWhenScarce = 0.1;
+constexpr double kMinChanceWhenFree = 0.01;
 
 base::Duration Scale(base::Duration span, double factor) {
   return base::Duration(static_cast<base::Duration::rep>(
       static_cast<double>(span.count()) * factor));
 }
 
-// Returns whether a run that needs `remaining` more time by its progress is
-// likely to end within `left`.
-bool CanEndInTime(base::Duration remaining, base::Duration left) {
-  const double ratio = static_cast<double>(left.count()) /
-                       std::max(static_cast<double>(remaining.count()), 1.0);
-  return ProbabilityBelow(ratio, kMeasuredLogStdDev) >= kMinChance;
-}
-
 }  // namespace
 
 OverduePolicy::OverduePolicy(std::vector<Candidate> candidates)
     : candidates(std::move(candidates)) {}
 
-OverdueDecision OverduePolicy::Decide(const OverdueRun& run,
+OverdueDecision OverduePolicy::Decide(const OverdueRun &run,
                                       TaskRequirements requirements) {
-  const bool may_end_here =
-      CanEndInTime(run.expected - run.age, requirements.deadline);
   OverdueDecision decision;
+  decision.value = this->ValueOf(run.endpoint);
+  decision.min_chance =
+      std::lerp(kMinChanceWhenFree, kMinChanceWhenScarce, decision.value);
   const base::Duration nominal_run_time = Scale(run.expected, 1 / run.pace);
   if (nominal_run_time <= kStuckRunTimeFactor * requirements.estimate) {
     decision.nominal_run_time = nominal_run_time;
@@ -54,15 +48,32 @@
   if (requirements.avoid != nullptr) avoid = *requirements.avoid;
   avoid.insert(run.endpoint);
   requirements.avoid = &avoid;
-  decision.action = this->ActionFor(requirements, may_end_here);
+  decision.action =
+      this->ActionFor(requirements, run.chance >= decision.min_chance);
   return decision;
 }
 
+bool OverduePolicy::IsSpared(const OverdueRun &run,
+                             const OverdueDecision &decision) {
+  return decision.action == OverdueAction::kContinue &&
+         run.chance < kMinChanceWhenScarce;
+}
+
+// The value is 1 at an endpoint that takes no tasks at present.
+double OverduePolicy::ValueOf(const std::string &endpoint) const {
+  const auto found =
+      std::find_if(this->candidates.begin(), this->candidates.end(),
+                   [&endpoint](const Candidate &candidate) {
+                     return candidate.endpoint == endpoint;
+                   });
+  return found == this->candidates.end() ? 1 : found->capacity_value;
+}
+
 // `requirements` are those of a new run of the task at another endpoint;
 // `may_end_here` tells whether the run may still end in time.
-OverdueAction OverduePolicy::ActionFor(const TaskRequirements& requirements,
+OverdueAction OverduePolicy::ActionFor(const TaskRequirements &requirements,
                                        bool may_end_here) {
-  const Candidate* better = ChooseEndpoint(this->candidates, requirements);
+  const Candidate *better = ChooseEndpoint(this->candidates, requirements);
   if (better != nullptr &&
       Scale(requirements.estimate, PaceFor(*better, requirements)) <
           requirements.deadline) {
