Jobs: the log lines for the end of a job in a file of their own

Change: job_end_log.cc formats the two lines; the coordinator collects the state. No line changes: those of large_jobs_test (12 runs) are the same before and after.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -7,6 +7,7 @@
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
+#include "jobs/job_end_log.h"
 #include "jobs/overdue_policy.h"
 
 namespace hawthornwheel::jobs {
@@ -90,13 +91,6 @@
          outcome == RunOutcome::kUnconfirmed;
 }
 
-// Returns the time from the arrival of a job to `event` in milliseconds, or -1
-// if it has not happened.
-std::int64_t AgeAt(const Job& job,
-                   const std::optional<base::TimePoint>& event) {
-  return event ? (*event - job.arrival) / milliseconds(1) : -1;
-}
-
 }  // namespace
 
 JobCoordinator::JobCoordinator(base::Clock& clock, base::Metrics& metrics,
@@ -603,36 +597,18 @@
          ending->second.open.contains(index);
 }
 
-// Logs the end of a job with its size and the times of its placements. A job
-// that ends early is logged with the free capacity and the queue at that
-// moment.
 void JobCoordinator::LogEnd(const Job& job, JobEnd end, const char* cause,
                             base::Duration retry_after) const {
   const base::TimePoint now = this->clock.Now();
-  const std::string size = fmt::format(
-      "tasks={} estimate_ms={} cpu_milli={} wait_limit_ms={} "
-      "first_placed_ms={} last_placed_ms={} refused={} unconfirmed={}",
-      job.request.task_count, job.request.estimate / milliseconds(1),
-      job.request.resources.cpu_milli, AgeAt(job, job.latest_start),
-      AgeAt(job, job.first_placed), AgeAt(job, job.last_placed),
-      job.refused_placements, job.has_unconfirmed_run);
-  const auto age_ms = (now - job.arrival) / milliseconds(1);
   if (end == JobEnd::kComplete) {
-    kLog.Info("Job ended. job={} route={} end={} age_ms={} late={} {}",
-              job.request.id, job.route.name, NameOf(end), age_ms,
-              now > job.objective_end, size);
+    LogComplete(job, now);
     return;
   }
-  const FreeRoom room =
-      CountFreeRoom(this->ValuedCandidates(), this->RequirementsOf(job));
-  kLog.Info(
-      "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
-      "done={} waiting={} slowest_pace={:.2f} room={} room_in_time={} "
-      "ahead={} left_ms={} retry_after_ms={}",
-      job.request.id, job.route.name, job.config_version, NameOf(end), cause,
-      age_ms, size, job.done_tasks, job.waiting_tasks, job.SlowestPace(),
-      room.tasks, room.tasks_in_time, this->TasksAheadOf(job),
-      (job.deadline - now) / milliseconds(1), retry_after / milliseconds(1));
+  LogEarlyEnd(
+      job, end, now,
+      {cause, retry_after,
+       CountFreeRoom(this->ValuedCandidates(), this->RequirementsOf(job)),
+       this->TasksAheadOf(job)});
 }
 
 // Returns the number of tasks that wait before those of `job`.
