--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -52,7 +52,8 @@
 /// likely to. The score is the expected value of the answer, which follows
 /// from the probabilities of meeting the deadline and the objective there, less
 /// the costs of a fast endpoint, a distant holder, jitter and leftover CPU. As
-/// a result, long tasks go to fast endpoints, and short tasks leave those free.
+/// a result, long tasks go to fast endpoints, and short tasks leave those free
+/// as far as they are scarce (Candidate::capacity_value).
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements);
 
@@ -73,10 +74,6 @@
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
                        const TaskRequirements& requirements);
 
-/// Returns whether a run that needs `remaining` more time by its progress is
-/// likely to end within `left`.
-bool CanEndInTime(base::Duration remaining, base::Duration left);
-
 /// Returns whether the fastest endpoint for the task would be likely to run it
 /// in time if it had free capacity.
 bool CanMeetDeadline(const std::vector<Candidate>& candidates,
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -8,6 +8,8 @@
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
+#include "jobs/job_end_log.h"
+#include "jobs/overdue_policy.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -31,11 +33,6 @@
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
 constexpr base::Duration kExpiryInterval = seconds(1);
-// Time to stop a run and to start the task at another endpoint.
-constexpr base::Duration kMoveTime = milliseconds(70);
-// A task that is projected to take more than this many times its nominal run
-// time is stuck. The projection is then not used as its run time.
-constexpr int kStuckRunTimeFactor = 8;
 // Retry time for jobs of routes that require a placement hint. These are not
 // supported yet; an update may change that.
 constexpr base::Duration kUnsupportedRetry = seconds(60);
@@ -95,13 +92,6 @@
          outcome == RunOutcome::kUnconfirmed;
 }
 
-// Returns the time from the arrival of a job to `event` in milliseconds, or -1
-// if it has not happened.
-std::int64_t AgeAt(const Job& job,
-                   const std::optional<base::TimePoint>& event) {
-  return event ? (*event - job.arrival) / milliseconds(1) : -1;
-}
-
 }  // namespace
 
 JobCoordinator::JobCoordinator(base::Clock& clock, base::Metrics& metrics,
@@ -248,7 +238,7 @@
             [](const JobPointer& a, const JobPointer& b) {
               return IsPlacedBefore(*a, *b);
             });
-  std::vector<Candidate> candidates = this->placer.Candidates();
+  std::vector<Candidate> candidates = this->ValuedCandidates();
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
     if (!job->IsAwaited()) {
@@ -288,6 +278,29 @@
                               [this] { this->SchedulePlacement(); });
 }
 
+// Returns the candidates with the value of their capacity.
+std::vector<Candidate> JobCoordinator::ValuedCandidates() const {
+  std::vector<Candidate> candidates = this->placer.Candidates();
+  CapacityValue(candidates, this->SizesInFlight(), this->placer.TasksWait())
+      .SetIn(candidates);
+  return candidates;
+}
+
+std::vector<CapacityValue::Kind> JobCoordinator::CapacityByKind() const {
+  return CapacityValue(this->placer.Candidates(), this->SizesInFlight(),
+                       this->placer.TasksWait())
+      .Kinds();
+}
+
+TaskSizes JobCoordinator::SizesInFlight() const {
+  TaskSizes sizes;
+  for (const auto& [id, job] : this->jobs) {
+    sizes.Add(job->route.service, job->request.resources,
+              job->request.task_count);
+  }
+  return sizes;
+}
+
 TaskRequirements JobCoordinator::RequirementsOf(const Job& job) const {
   const base::TimePoint now = this->clock.Now();
   TaskRequirements requirements;
@@ -367,6 +380,7 @@
   order.estimate = Scale(job.nominal_run_time, pace / candidate.pace);
   order.time_left = requirements.deadline;
   task.pace = pace;
+  task.projection = {};
   task.moving = false;
   const bool placed = this->placer.Place(
       candidate, order, this->HandlersFor(job, index, order.endpoint),
@@ -376,6 +390,7 @@
     return false;
   }
   candidate.free -= order.resources;
+  this->metrics.Observe("jobs.capacity_value", candidate.capacity_value);
   task.state = Job::TaskState::kPlaced;
   --job.waiting_tasks;
   task.placed_at = this->clock.Now();
@@ -470,35 +485,34 @@
   if (task.state != Job::TaskState::kPlaced || task.run != run || task.moving) {
     return;
   }
-  const base::Duration nominal_run_time = Scale(expected, 1 / task.pace);
-  const bool stuck =
-      nominal_run_time > kStuckRunTimeFactor * job.nominal_run_time;
-  TaskRequirements requirements = this->RequirementsOf(job);
-  if (!stuck) {
-    requirements.estimate = nominal_run_time;
-    requirements.estimate_log_std_dev = kMeasuredLogStdDev;
-  }
-  requirements.deadline -= kMoveTime;
   const base::TimePoint now = this->clock.Now();
-  const OverdueAction action = this->ActionFor(
-      task, requirements,
-      CanEndInTime(task.placed_at + expected - now, job.deadline - now));
+  task.projection.Add(now - task.placed_at, expected);
+  const OverdueRun overdue{task.placed_run.endpoint, expected, task.pace,
+                           task.projection.ChanceToEndIn(job.deadline - now)};
+  TaskRequirements requirements = this->RequirementsOf(job);
+  requirements.avoid = &task.avoid;
+  const OverdueDecision decision =
+      OverduePolicy(this->ValuedCandidates()).Decide(overdue, requirements);
   kLog.Info(
       "Task is overdue. job={} task={} run={} endpoint={} pace={:.2f} "
-      "expected_ms={} left_ms={} action={}",
-      id, index, run, task.placed_run.endpoint, task.pace,
-      expected / milliseconds(1), (job.deadline - now) / milliseconds(1),
-      NameOf(action));
+      "expected_ms={} left_ms={} chance={:.3f} min_chance={:.3f} value={:.2f} "
+      "action={}",
+      id, index, run, overdue.endpoint, task.pace, expected / milliseconds(1),
+      (job.deadline - now) / milliseconds(1), overdue.chance,
+      decision.min_chance, decision.value, NameOf(decision.action));
   // Most overdue runs are stopped before their end. Without their projected
   // run times, the route would seem to have no long runs.
-  if (!stuck) this->RecordRunTime(job, task, expected);
-  if (action == OverdueAction::kContinue) return;
-  if (action == OverdueAction::kEndJob) {
+  if (decision.nominal_run_time) this->RecordRunTime(job, task, expected);
+  if (OverduePolicy::IsSpared(overdue, decision))
+    this->metrics.Count("jobs.overdue_runs_spared");
+  if (decision.action == OverdueAction::kContinue) return;
+  if (decision.action == OverdueAction::kEndJob) {
+    this->metrics.Count("jobs.overdue_runs_ended");
     this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
     return;
   }
-  if (!stuck) {
-    job.nominal_run_time = nominal_run_time;
+  if (decision.nominal_run_time) {
+    job.nominal_run_time = *decision.nominal_run_time;
     job.nominal_run_time_measured = true;
   }
   task.moving = true;
@@ -507,28 +521,6 @@
   this->placer.Stop(task.placed_run);
 }
 
-// Decides about an overdue run. `requirements` are those of a new run of the
-// task at another endpoint; `may_end_here` tells whether the run may still end
-// in time.
-OverdueAction JobCoordinator::ActionFor(const Job::Task& task,
-                                        TaskRequirements requirements,
-                                        bool may_end_here) const {
-  std::set<std::string> avoid = task.avoid;
-  avoid.insert(task.placed_run.endpoint);
-  requirements.avoid = &avoid;
-  std::vector<Candidate> candidates = this->placer.Candidates();
-  const Candidate* better = ChooseEndpoint(candidates, requirements);
-  if (better != nullptr &&
-      Scale(requirements.estimate, PaceFor(*better, requirements)) <
-          requirements.deadline) {
-    return OverdueAction::kMove;
-  }
-  if (may_end_here) return OverdueAction::kContinue;
-  return CanMeetDeadline(candidates, requirements)
-             ? OverdueAction::kWaitForEndpoint
-             : OverdueAction::kEndJob;
-}
-
 void JobCoordinator::ArmTimer(Job& job) {
   const base::TimePoint due = job.MayHaveRun()
                                   ? job.deadline
@@ -633,37 +625,18 @@
          ending->second.open.contains(index);
 }
 
-// Logs the end of a job with its size and the times of its placements. A job
-// that ends early is logged with the free capacity and the queue at that
-// moment.
 void JobCoordinator::LogEnd(const Job& job, JobEnd end, const char* cause,
                             base::Duration retry_after) const {
   const base::TimePoint now = this->clock.Now();
-  const std::string size = fmt::format(
-      "tasks={} estimate_ms={} cpu_milli={} wait_limit_ms={} "
-      "first_placed_ms={} last_placed_ms={} refused={} unconfirmed={}",
-      job.request.task_count, job.request.estimate / milliseconds(1),
-      job.request.resources.cpu_milli, AgeAt(job, job.latest_start),
-      AgeAt(job, job.first_placed), AgeAt(job, job.last_placed),
-      job.refused_placements, job.has_unconfirmed_run);
-  const auto age_ms = (now - job.arrival) / milliseconds(1);
   if (end == JobEnd::kComplete) {
-    kLog.Info("Job ended. job={} route={} end={} age_ms={} late={} {}",
-              job.request.id, job.route.name, NameOf(end), age_ms,
-              now > job.objective_end, size);
+    LogComplete(job, now);
     return;
   }
   const TaskRequirements requirements = this->RequirementsOf(job);
-  const FreeRoom room = CountFreeRoom(this->placer.Candidates(), requirements);
-  kLog.Info(
-      "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
-      "expected_ms={} done={} waiting={} slowest_pace={:.2f} room={} "
-      "room_in_time={} ahead={} left_ms={} retry_after_ms={}",
-      job.request.id, job.route.name, job.config_version, NameOf(end), cause,
-      age_ms, size, requirements.estimate / milliseconds(1), job.done_tasks,
-      job.waiting_tasks, job.SlowestPace(), room.tasks, room.tasks_in_time,
-      this->TasksAheadOf(job), (job.deadline - now) / milliseconds(1),
-      retry_after / milliseconds(1));
+  LogEarlyEnd(job, end, now,
+              {cause, retry_after, requirements.estimate,
+               CountFreeRoom(this->ValuedCandidates(), requirements),
+               this->TasksAheadOf(job)});
 }
 
 // Returns the number of tasks that wait before those of `job`.
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "base/timer.h"
+#include "jobs/capacity_value.h"
 #include "jobs/endpoint_choice.h"
 #include "jobs/job.h"
 #include "jobs/job_gateway.h"
 #include "jobs/job_settings.h"
-#include "jobs/overdue_action.h"
 #include "jobs/retry_advisor.h"
 #include "jobs/run_time_model.h"
 
@@ -72,6 +72,8 @@
 
   /// Returns what was learned about the run times of each route.
   const RunTimeModel& RunTimes() const { return this->run_times; }
+  /// Returns the value of the capacity that is known at present, by kind.
+  std::vector<CapacityValue::Kind> CapacityByKind() const;
 
   /// Returns the number of jobs in flight.
   std::size_t OpenJobs() const { return this->jobs.size(); }
@@ -118,8 +120,8 @@
                 runs::RunOutcome outcome, const std::string& endpoint);
   void OnOverdue(Job& job, std::size_t index, std::uint64_t run,
                  base::Duration expected);
-  OverdueAction ActionFor(const Job::Task& task, TaskRequirements requirements,
-                          bool may_end_here) const;
+  std::vector<Candidate> ValuedCandidates() const;
+  TaskSizes SizesInFlight() const;
   TaskRequirements RequirementsOf(const Job& job) const;
   void RecordRunTime(const Job& job, Job::Task& task, base::Duration run_time);
   void ArmTimer(Job& job);
