Jobs: a few endpoints need a larger free share to count as plenty

Cause: a quarter of a task for each endpoint was plenty also for a kind of two or four endpoints, where one free place is all there is.

Change: plenty is at least the square root of the number of endpoints, by which free capacity varies. From 16 endpoints of a kind nothing changes.

--- a/src/libs/jobs/capacity_value.cc
+++ b/src/libs/jobs/capacity_value.cc
@@ -29,11 +29,16 @@
          static_cast<double>(size.cpu_milli);
 }
 
-double ValueOf(double free_share, bool tasks_wait) {
-  // While tasks wait, a kind with less than the plentiful share counts as
-  // scarce. One with twice as much is not what they wait for.
+double ValueOf(double free_tasks, int endpoints, bool tasks_wait) {
+  // The free capacity varies by about the square root of the number of
+  // endpoints, so a few endpoints need a larger share: one free place of two is
+  // not plenty.
+  const double plenty =
+      std::max(kPlentifulShare * endpoints, std::sqrt(endpoints));
+  // While tasks wait, a kind with less than plenty counts as scarce. One with
+  // twice as much is not what they wait for.
   const double offset = tasks_wait ? 1 : 0;
-  return std::clamp(1 + offset - free_share / kPlentifulShare, 0.0, 1.0);
+  return std::clamp(1 + offset - free_tasks / plenty, 0.0, 1.0);
 }
 
 }  // namespace
@@ -47,7 +52,7 @@
     for (auto& [kind, group] : groups) {
       if (kind.empty() || group.counted_endpoints == 0) continue;
       group.value =
-          ValueOf(group.free_tasks / group.counted_endpoints, tasks_wait);
+          ValueOf(group.free_tasks, group.counted_endpoints, tasks_wait);
     }
   }
 }
