Runs: the loss of one order costs that order's time, not the endpoint

Cause: a lost poll was noticed when it timed out, 0.4 s after it was sent, so that half of the capacity was held by runs that had ended; two lost polls in a row closed the endpoint, and with the pause of 0.25 s its leases expired. An overdue poll is repeated before it times out. For 2 s after a loss, a poll is sent every 0.1 s beside those that wait. Four polls in a row without an answer, one of which has failed, are silence, or two that were refused or whose connections ended, as before. The token is not raised again for a repeated recheck. A poll without a wait verifies the endpoint for 50 ms only. Each pause between polls of a silent endpoint is used twice.

--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -245,9 +245,10 @@
   const char* separator = "";
   for (const auto& [id, session] : this->d->pool.Sessions()) {
     text += fmt::format(
-        R"({}{{"endpoint":"{}","open":{},"runs":{},"free_cpu":{},"pace":{:.2f}}})",
+        R"({}{{"endpoint":"{}","open":{},"runs":{},"free_cpu":{},"pace":{:.2f},"lossy":{}}})",
         separator, id, session->IsOpen(), session->RunCount(),
-        session->Free().cpu_milli, session->Health().Pace());
+        session->Free().cpu_milli, session->Health().Pace(),
+        session->IsLossy());
     separator = ",";
   }
   text += "]}";
--- a/src/libs/runs/endpoint_orders.cc
+++ b/src/libs/runs/endpoint_orders.cc
@@ -31,6 +31,12 @@
   return false;
 }
 
+RunOutcome OutcomeOfRefusal(OrderOutcome outcome) {
+  if (outcome == OrderOutcome::kStaleRun) return RunOutcome::kStaleRun;
+  if (outcome == OrderOutcome::kInvalid) return RunOutcome::kFailed;
+  return RunOutcome::kNotRun;
+}
+
 bool IsUnanswered(OrderOutcome outcome) {
   return outcome == OrderOutcome::kUnanswered ||
          outcome == OrderOutcome::kNotSent;
--- a/src/libs/runs/endpoint_orders.h
+++ b/src/libs/runs/endpoint_orders.h
@@ -42,6 +42,9 @@
 /// refused it, or it was not sent.
 bool IsNotCarriedOut(OrderOutcome outcome);
 
+/// Returns the outcome of a run whose start was refused in this way.
+RunOutcome OutcomeOfRefusal(OrderOutcome outcome);
+
 /// Returns whether the endpoint has not answered an order.
 bool IsUnanswered(OrderOutcome outcome);
 
--- a/src/libs/runs/endpoint_run.cc
+++ b/src/libs/runs/endpoint_run.cc
@@ -20,6 +20,14 @@
          now - this->started < kProgressWatchTime;
 }
 
+void EndpointRun::OnAccepted(std::int64_t reported_start_ms) {
+  this->start_answered = true;
+  if (reported_start_ms != 0) this->incarnation_start_ms = reported_start_ms;
+  if (this->state != State::kStarting) return;
+  this->state = State::kRunning;
+  this->timer->Stop();
+}
+
 void EndpointRun::OnListed(std::int64_t listed_start_ms) {
   this->start_answered = true;
   this->incarnation_start_ms = listed_start_ms;
@@ -39,6 +47,15 @@
                                     : RunOutcome::kUnconfirmed;
 }
 
+std::optional<EndpointRun::Settlement> EndpointRun::SettlementIfAbsent(
+    std::uint64_t list_fence, std::int64_t list_clock_ms,
+    base::Duration stop_time) const {
+  const auto outcome = this->OutcomeIfAbsent(list_fence);
+  if (outcome) return Settlement{*outcome, SettlementEvidence::kAbsentFromList};
+  if (!this->HasStoppedBy(list_clock_ms, stop_time)) return {};
+  return Settlement{RunOutcome::kStopped, SettlementEvidence::kStopTimePassed};
+}
+
 bool EndpointRun::HasStoppedBy(std::int64_t list_clock_ms,
                                base::Duration stop_time) const {
   const std::int64_t stop_ms = stop_time / milliseconds(1);
--- a/src/libs/runs/endpoint_run.h
+++ b/src/libs/runs/endpoint_run.h
@@ -6,6 +6,7 @@
 
 #include "base/timer.h"
 #include "runs/run_progress.h"
+#include "runs/settled_runs.h"
 #include "runs/task_order.h"
 
 namespace hawthornwheel::runs {
@@ -21,9 +22,19 @@
     kStopping,
   };
 
+  /// Outcome of a run whose end was not reported.
+  struct Settlement {
+    RunOutcome outcome;
+    SettlementEvidence evidence;
+  };
+
   /// Returns whether the run's progress is read more often.
   bool IsWatched(base::TimePoint now) const;
 
+  /// Records that the endpoint has accepted the start. Its incarnation is 0
+  /// when the answer names none.
+  void OnAccepted(std::int64_t reported_start_ms);
+
   /// Records that a list of runs shows the run, made by the endpoint's
   /// incarnation of this start in Unix milliseconds.
   void OnListed(std::int64_t listed_start_ms);
@@ -32,6 +43,12 @@
   /// `list_fence`; nothing if the list does not settle the run.
   std::optional<RunOutcome> OutcomeIfAbsent(std::uint64_t list_fence) const;
 
+  /// Returns how a run ended that is absent from a list under `list_fence`,
+  /// made at `list_clock_ms`; nothing if the list does not settle it.
+  std::optional<Settlement> SettlementIfAbsent(std::uint64_t list_fence,
+                                               std::int64_t list_clock_ms,
+                                               base::Duration stop_time) const;
+
   /// Returns whether a run that is absent from a list must have stopped.
   /// `list_clock_ms` is the endpoint's clock in milliseconds at the list.
   bool HasStoppedBy(std::int64_t list_clock_ms, base::Duration stop_time) const;
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -16,10 +16,9 @@
 
 constexpr base::Logger kLog("endpoint");
 
-// Failed polls in a row after which the endpoint counts as unreachable.
-constexpr int kMaxPollFailures = 2;
-constexpr base::Duration kMinProbeBackoff = milliseconds(250);
-constexpr base::Duration kMaxProbeBackoff = milliseconds(2'000);
+// Pauses before an endpoint is polled again that another one has replaced.
+constexpr base::Duration kMinReplacedPause = milliseconds(250);
+constexpr base::Duration kMaxReplacedPause = milliseconds(2'000);
 // Delay of the claim after a probe was answered. When a partition has healed,
 // the heartbeats of another holder arrive within this time.
 constexpr base::Duration kClaimDelay = milliseconds(1'500);
@@ -47,11 +46,13 @@
           parts.tokens.NextClaim(parts.clock.WallMilliseconds(), fence_floor)),
       incarnation(parts.clock),
       lease_expiry(parts.clock.Now()),
+      failures(parts.clock, parts.settings, this->entry.id),
       poll_timer(parts.clock),
+      check_timer(parts.clock),
       lease_expiry_timer(parts.clock) {
   if (mode == ClaimMode::kAfterProbe) {
     this->state = SessionState::kUnreachable;
-    this->failures = kMaxPollFailures;
+    this->failures.BeginSilence();
     this->Probe();
     return;
   }
@@ -112,12 +113,17 @@
   run.timer = std::make_unique<base::Timer>(this->parts.clock);
   if (verified) {
     this->SendStart(key);
-    if (this->polls_in_flight == 0) this->Poll(this->PollWait(), false);
+    if (this->failures.PollsInFlight() == 0) {
+      this->Poll(this->PollWait(), false);
+    }
+    this->ArmCheck();
   } else {
     run.state = RunState::kHeld;
     run.timer->StartOnce(this->parts.settings.recheck_after,
                          [this] { this->Recheck(); });
-    if (this->polls_in_flight == 0) this->Poll(base::Duration{0}, false);
+    if (this->failures.PollsInFlight() == 0) {
+      this->Poll(base::Duration{0}, false);
+    }
   }
   return true;
 }
@@ -125,11 +131,8 @@
 // Returns whether a restart of the endpoint would have been noticed by now: its
 // list of runs was read a moment ago, or a request for it is in flight.
 bool EndpointSession::IsVerified() const {
-  const bool has_held = std::any_of(
-      this->runs.begin(), this->runs.end(),
-      [](const auto& item) { return item.second.state == RunState::kHeld; });
-  if (has_held) return false;
-  return this->polls_in_flight > 0 || this->incarnation.HasRecentList();
+  if (!HeldRuns(this->runs).empty()) return false;
+  return this->failures.IsAwaitingList() || this->incarnation.HasRecentList();
 }
 
 void EndpointSession::SendStart(const RunKey& key) {
@@ -140,8 +143,10 @@
   run.start_number = ++this->last_start_number;
   run.started = now;
   run.progress = RunProgress(now);
-  run.timer->StartOnce(this->parts.settings.recheck_after,
-                       [this] { this->Recheck(); });
+  run.timer->StartOnce(this->parts.settings.recheck_after, [this] {
+    this->failures.RecordLoss();
+    this->Recheck();
+  });
   StartOrder start;
   start.target = this->Target(this->parts.settings.lease);
   start.task = run.order.task;
@@ -167,7 +172,7 @@
   const base::Duration max_held =
       this->parts.settings.recheck_after + 2 * this->parts.settings.answer_time;
   const base::TimePoint now = this->parts.clock.Now();
-  for (const RunKey& key : this->HeldRuns()) {
+  for (const RunKey& key : HeldRuns(this->runs)) {
     if (now - this->runs.at(key).started > max_held) {
       this->End(key, RunOutcome::kNotRun);
     } else {
@@ -177,22 +182,15 @@
 }
 
 void EndpointSession::EndHeld() {
-  for (const RunKey& key : this->HeldRuns()) {
+  for (const RunKey& key : HeldRuns(this->runs)) {
     this->End(key, RunOutcome::kNotRun);
   }
 }
 
-std::vector<EndpointSession::RunKey> EndpointSession::HeldRuns() const {
-  std::vector<RunKey> held;
-  for (const auto& [key, run] : this->runs) {
-    if (run.state == RunState::kHeld) held.push_back(key);
-  }
-  return held;
-}
-
 void EndpointSession::OnStartReply(const RunKey& key, const SentOrder& sent,
                                    const OrderReply& reply) {
   if (!this->CheckIncarnation(reply.incarnation_start_ms)) return;
+  this->failures.RecordOutcome(sent.time, reply.outcome);
   this->incarnation.RecordClock(sent, reply);
   if (this->incarnation.ShowsRestart(sent, reply)) this->Recheck();
   const auto found = this->runs.find(key);
@@ -217,14 +215,7 @@
   }
   switch (reply.outcome) {
     case OrderOutcome::kAccepted:
-      run.start_answered = true;
-      if (reply.incarnation_start_ms != 0) {
-        run.incarnation_start_ms = reply.incarnation_start_ms;
-      }
-      if (run.state == RunState::kStarting) {
-        run.state = RunState::kRunning;
-        run.timer->Stop();
-      }
+      run.OnAccepted(reply.incarnation_start_ms);
       return;
     case OrderOutcome::kFenced:
       // An order that was overtaken by a poll with a raised token is fenced
@@ -232,25 +223,18 @@
       this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartRefused);
       if (sent.fence == this->fence) this->OnFenced(sent.fence);
       return;
-    case OrderOutcome::kStaleRun:
-      this->Settle(key, RunOutcome::kStaleRun,
-                   SettlementEvidence::kStartRefused);
-      return;
     case OrderOutcome::kOverloaded:
     case OrderOutcome::kExpired:
     case OrderOutcome::kNoCapacity:
       this->health.RecordRefusal(this->parts.clock.Now());
-      this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartRefused);
-      return;
+      [[fallthrough]];
+    case OrderOutcome::kStaleRun:
     case OrderOutcome::kInvalid:
-      this->Settle(key, RunOutcome::kFailed, SettlementEvidence::kStartRefused);
+      this->Settle(key, OutcomeOfRefusal(reply.outcome),
+                   SettlementEvidence::kStartRefused);
       return;
     case OrderOutcome::kWrongInstance:
-      this->EndAllAsLost("another endpoint answers",
-                         SettlementEvidence::kEndpointReplaced);
-      this->SetState(SessionState::kClaiming, "another endpoint answers");
-      this->poll_timer.StartOnce(kMinProbeBackoff,
-                                 [this] { this->PollAgain(); });
+      this->OnReplaced(kMinReplacedPause);
       return;
     case OrderOutcome::kNotSent:
       this->Settle(key, RunOutcome::kNotRun, SettlementEvidence::kStartNotSent);
@@ -289,6 +273,7 @@
        guard = this->callback_guard](const OrderReply& reply) {
         if (!*guard || !this->CheckIncarnation(reply.incarnation_start_ms))
           return;
+        this->failures.RecordOutcome(sent.time, reply.outcome);
         this->incarnation.RecordClock(sent, reply);
         // The earlier incarnation may have accepted the stop.
         if (!this->incarnation.WasSentToPresent(sent)) return;
@@ -310,7 +295,7 @@
                   kStopRetry, [this, key] { this->SendStop(key); });
             });
       });
-  if (this->polls_in_flight == 0)
+  if (this->failures.PollsInFlight() == 0)
     this->Poll(this->parts.settings.poll_wait, false);
 }
 
@@ -322,15 +307,16 @@
   this->Poll(base::Duration{0}, true);
 }
 
-// Returns whether the recheck of a start was due during that of an earlier one,
-// whose token does not exceed that of the start.
-bool EndpointSession::HasMissedRecheck() const {
-  return std::any_of(
-      this->runs.begin(), this->runs.end(), [this](const auto& item) {
-        const Run& run = item.second;
-        return run.state == RunState::kStarting && !run.timer->IsActive() &&
-               run.fence == this->fence;
-      });
+// Sends a poll in place of one that was lost. It settles all starts so far, so
+// the token is raised unless it exceeds theirs already.
+void EndpointSession::RepeatPoll() {
+  this->parts.metrics.Count("runs.repeated_polls");
+  if (HasStartUnder(this->runs, this->fence)) {
+    this->recheck_due = false;
+    this->Recheck();
+  } else {
+    this->Poll(base::Duration{0}, false);
+  }
 }
 
 void EndpointSession::Poll(base::Duration wait, bool raise_fence) {
@@ -340,35 +326,71 @@
   order.target = this->Target(wait + this->parts.settings.answer_time);
   order.acked_end_seq = this->incarnation.SeenEndSeq();
   order.wait = wait;
-  const bool renew =
-      std::any_of(this->runs.begin(), this->runs.end(), [](const auto& item) {
-        return !item.second.foreign && item.second.state != RunState::kStopping;
-      });
-  if (renew && this->incarnation.HasClock() &&
-      this->failures < kMaxPollFailures) {
+  if (HasLease(this->runs) && this->incarnation.HasClock() &&
+      !this->failures.IsSilent()) {
     order.lease_until_ms =
         this->incarnation.LeaseUntil(this->parts.settings.lease);
     this->lease_expiry.Extend(now, this->parts.settings.lease);
   }
-  ++this->polls_in_flight;
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
       order,
-      [this, order, generation = this->poll_generation,
+      [this, order, number = this->failures.RecordPoll(wait),
        sent = this->incarnation.Snapshot(this->fence, this->last_start_number),
        guard = this->callback_guard](const PollReply& reply) {
         if (!*guard) return;
-        const bool is_current = generation == this->poll_generation;
-        if (is_current) --this->polls_in_flight;
-        const bool lost = IsUnanswered(reply.order.outcome);
-        if (lost && !is_current) return;
+        const auto poll_state = this->failures.RecordReply(number);
+        if (IsUnanswered(reply.order.outcome)) {
+          this->OnPollFailed(sent, poll_state, reply.order);
+          return;
+        }
         if (this->incarnation.ObserveSetBack(
                 sent, reply.order.incarnation_start_ms)) {
           this->OnRestart();
           return;
         }
-        this->OnPollReply(order, sent, reply);
+        // A poll without a wait often follows a lost answer, so an older poll
+        // may be lost too. The next poll for ends does not wait for its
+        // timeout.
+        if (order.wait <= base::Duration{0}) {
+          this->failures.ForgetPollsBefore(number);
+        }
+        this->OnPollReply(order, sent, poll_state, reply);
       });
+  this->ArmCheck();
+}
+
+void EndpointSession::ArmCheck() {
+  const auto next = this->failures.TimeToCheck(this->IsCovering());
+  if (next) {
+    this->check_timer.StartOnce(*next, [this] { this->CheckPolls(); });
+  } else {
+    this->check_timer.Stop();
+  }
+}
+
+// Returns whether a further poll may be sent while one waits for a run to end.
+bool EndpointSession::IsCovering() const {
+  return this->state == SessionState::kReady && !this->runs.empty();
+}
+
+void EndpointSession::CheckPolls() {
+  if (this->state == SessionState::kFencedOff) return;
+  switch (this->failures.Check(this->IsCovering(), this->recheck_due)) {
+    case FailureDetector::Action::kEndUse:
+      this->OnSilence("polls are not answered");
+      return;
+    case FailureDetector::Action::kRepeat:
+      this->RepeatPoll();
+      return;
+    case FailureDetector::Action::kCover:
+      this->parts.metrics.Count("runs.cover_polls");
+      this->Poll(this->PollWait(), false);
+      return;
+    case FailureDetector::Action::kNone:
+      this->ArmCheck();
+      return;
+  }
 }
 
 void EndpointSession::RaiseFence() {
@@ -389,8 +411,10 @@
 }
 
 void EndpointSession::PollAgain() {
-  if (this->polls_in_flight > 0 || this->state == SessionState::kFencedOff)
+  if (this->failures.PollsInFlight() > 0 ||
+      this->state == SessionState::kFencedOff) {
     return;
+  }
   const bool unreachable = this->state == SessionState::kUnreachable;
   if (unreachable && this->runs.empty() &&
       !this->incarnation.TokenConfirmed()) {
@@ -423,16 +447,18 @@
         this->probe_in_flight = false;
         if (this->state != SessionState::kUnreachable) return;
         if (IsUnanswered(reply.order.outcome)) {
-          this->OnPollFailed(reply.order);
+          this->parts.metrics.Count("runs.poll_failures");
+          this->OnSilence(reply.order.cause.c_str());
           return;
         }
         this->SetState(SessionState::kClaiming, "endpoint answers again");
-        this->failures = 0;
+        this->failures.EndSilence();
         this->poll_timer.StartOnce(kClaimDelay, [this] { this->PollAgain(); });
       });
 }
 
 void EndpointSession::OnPollReply(const PollOrder& order, const SentOrder& sent,
+                                  FailureDetector::PollState poll_state,
                                   const PollReply& reply) {
   if (!this->CheckIncarnation(reply.order.incarnation_start_ms)) {
     if (!this->poll_timer.IsActive()) this->PollAgain();
@@ -452,18 +478,15 @@
       if (order.target.fence == this->fence) {
         this->OnFenced(order.target.fence);
       } else {
+        this->failures.RecordAnswer(sent.time);
         this->PollAgain();
       }
       return;
     case OrderOutcome::kWrongInstance:
-      this->EndAllAsLost("another endpoint answers",
-                         SettlementEvidence::kEndpointReplaced);
-      this->SetState(SessionState::kClaiming, "another endpoint answers");
-      this->poll_timer.StartOnce(kMaxProbeBackoff,
-                                 [this] { this->PollAgain(); });
+      this->OnReplaced(kMaxReplacedPause);
       return;
     default:
-      this->OnPollFailed(reply.order);
+      this->OnPollFailed(sent, poll_state, reply.order);
       return;
   }
 }
@@ -478,7 +501,9 @@
     this->PollAgain();
     return;
   }
-  this->failures = 0;
+  this->failures.EndSilence();
+  this->failures.RecordAnswer(reply.ended.empty() ? sent.time + order.wait
+                                                  : sent.time);
   this->fence_raises = 0;
   this->lease_expiry_timer.Stop();
   this->incarnation.RecordListTime(order, sent, reply);
@@ -491,45 +516,45 @@
     this->SendHeld();
   }
   this->on_change();
-  // A poll without a wait often follows a lost answer, so an older poll may be
-  // lost too. Older polls no longer count as in flight, so that the next poll
-  // for ends does not wait until they time out.
-  if (order.wait <= base::Duration{0}) {
-    ++this->poll_generation;
-    this->polls_in_flight = 0;
-  }
-  if (this->HasMissedRecheck()) this->Recheck();
+  // The recheck of a start may have been due during that of an earlier one,
+  // whose token does not exceed that of the start.
+  if (HasOverdueStart(this->runs, this->fence)) this->Recheck();
   this->PollAgain();
 }
 
-void EndpointSession::OnPollFailed(const OrderReply& reply) {
+// Handles a poll that was refused or has no answer.
+void EndpointSession::OnPollFailed(const SentOrder& sent,
+                                   FailureDetector::PollState poll_state,
+                                   const OrderReply& reply) {
+  using PollState = FailureDetector::PollState;
+  if (this->state == SessionState::kFencedOff) return;
   // An older poll that fails late must not put off the next one.
-  if (this->state == SessionState::kUnreachable &&
-      this->poll_timer.IsActive()) {
+  if (poll_state == PollState::kForgotten && IsUnanswered(reply.outcome))
     return;
-  }
-  this->recheck_due = false;
-  ++this->failures;
+  if (this->poll_timer.IsActive() && this->failures.IsSilent()) return;
   this->parts.metrics.Count("runs.poll_failures");
-  if (this->failures < kMaxPollFailures) {
-    this->Recheck();
-    return;
+  this->failures.RecordFailure(poll_state, sent.time);
+  if (this->failures.IsSilent() || this->failures.HasTooManyMisses()) {
+    this->OnSilence(reply.cause.c_str());
+  } else if (poll_state == PollState::kOverdue) {
+    this->PollAgain();
+  } else {
+    this->RepeatPoll();
   }
+}
+
+// Accepts no tasks until the endpoint answers, and polls it after a pause.
+void EndpointSession::OnSilence(const char* cause) {
+  this->recheck_due = false;
   if (this->state != SessionState::kUnreachable) {
-    this->SetState(SessionState::kUnreachable, reply.cause.c_str());
-    this->EndHeld();
-    const base::Duration left =
-        this->lease_expiry.TimeLeft(this->parts.clock.Now());
-    this->lease_expiry_timer.StartOnce(left, [this] {
-      this->EndAllAsLost("lease expired, endpoint does not answer",
-                         SettlementEvidence::kLeaseExpired);
-    });
-    this->on_change();
-  }
-  const base::Duration pause =
-      std::min(kMaxProbeBackoff,
-               kMinProbeBackoff * (1 << std::min(this->failures - 2, 8)));
-  this->poll_timer.StartOnce(pause, [this] { this->PollAgain(); });
+    this->parts.metrics.Count("runs.silent_endpoints");
+    this->SetState(SessionState::kUnreachable, cause);
+    this->failures.BeginSilence();
+    this->check_timer.Stop();
+    this->AwaitLeaseExpiry("lease expired, endpoint does not answer");
+  }
+  this->poll_timer.StartOnce(this->failures.NextPause(),
+                             [this] { this->PollAgain(); });
 }
 
 void EndpointSession::OnFenced(std::uint64_t order_fence) {
@@ -547,12 +572,16 @@
       "Another process holds the endpoint. endpoint={} fence={} runs={}",
       this->entry.id, order_fence, this->runs.size());
   this->SetState(SessionState::kFencedOff, "higher fencing token");
+  this->AwaitLeaseExpiry("fenced off");
+}
+
+// Ends the held runs, and the others when their leases have expired.
+void EndpointSession::AwaitLeaseExpiry(const char* cause) {
   this->EndHeld();
-  const base::Duration left =
-      this->lease_expiry.TimeLeft(this->parts.clock.Now());
-  this->lease_expiry_timer.StartOnce(left, [this] {
-    this->EndAllAsLost("fenced off", SettlementEvidence::kLeaseExpired);
-  });
+  this->lease_expiry_timer.StartOnce(
+      this->lease_expiry.TimeLeft(this->parts.clock.Now()), [this, cause] {
+        this->EndAllAsLost(cause, SettlementEvidence::kLeaseExpired);
+      });
   this->on_change();
 }
 
@@ -575,36 +604,16 @@
 
 void EndpointSession::ProcessRunning(const PollOrder& order,
                                      const PollReply& reply) {
-  std::map<RunKey, int> present;
   for (const ActiveRun& reported : reply.running) {
-    const RunKey key{reported.task, reported.run};
-    present[key] = reported.percent;
-    if (!this->runs.contains(key)) {
+    if (!this->runs.contains({reported.task, reported.run})) {
       this->AddForeign(reported, order.target.fence);
     }
   }
-  std::vector<std::pair<RunKey, RunOutcome>> absent_runs;
-  std::vector<RunKey> stopped_runs;
-  for (auto& [key, run] : this->runs) {
-    if (run.state == RunState::kHeld) continue;
-    if (present.contains(key)) {
-      run.OnListed(this->incarnation.StartMs());
-      continue;
-    }
-    const auto outcome = run.OutcomeIfAbsent(order.target.fence);
-    if (outcome) {
-      absent_runs.emplace_back(key, *outcome);
-    } else if (run.HasStoppedBy(reply.order.clock_ms,
-                                this->parts.settings.stop_time)) {
-      stopped_runs.push_back(key);
-    }
-  }
-  for (const auto& [key, outcome] : absent_runs) {
-    this->Settle(key, outcome, SettlementEvidence::kAbsentFromList);
-  }
-  for (const RunKey& key : stopped_runs) {
-    this->Settle(key, RunOutcome::kStopped,
-                 SettlementEvidence::kStopTimePassed);
+  const auto settlements =
+      ApplyList(this->runs, reply, order.target.fence,
+                this->incarnation.StartMs(), this->parts.settings.stop_time);
+  for (const auto& [key, settlement] : settlements) {
+    this->Settle(key, settlement.outcome, settlement.evidence);
   }
   for (const ActiveRun& reported : reply.running)
     this->UpdateProgress(reported);
@@ -635,36 +644,18 @@
 }
 
 base::Duration EndpointSession::PollWait() const {
-  const base::TimePoint now = this->parts.clock.Now();
-  const bool watch = std::any_of(
-      this->runs.begin(), this->runs.end(),
-      [now](const auto& item) { return item.second.IsWatched(now); });
-  return watch ? std::min(kProgressPollWait, this->parts.settings.poll_wait)
-               : this->parts.settings.poll_wait;
+  return IsAnyWatched(this->runs, this->parts.clock.Now())
+             ? std::min(kProgressPollWait, this->parts.settings.poll_wait)
+             : this->parts.settings.poll_wait;
 }
 
 void EndpointSession::AddForeign(const ActiveRun& reported,
                                  std::uint64_t list_fence) {
   const RunKey key{reported.task, reported.run};
-  const auto settlement = this->settled.Find(reported.task, reported.run);
-  if (settlement) {
-    this->parts.metrics.Count("runs.settled_in_progress");
-    kLog.Warning(
-        "Run that counted as ended is stopped. endpoint={} task={} run={} "
-        "percent={} outcome={} evidence={} settled_ms_ago={} order_fence={} "
-        "settled_fence={} list_fence={} incarnation={}",
-        this->entry.id, reported.task, reported.run, reported.percent,
-        runs::NameOf(settlement->outcome), NameOf(settlement->evidence),
-        (this->parts.clock.Now() - settlement->time) / milliseconds(1),
-        settlement->order_fence, settlement->fence, list_fence,
-        this->incarnation.StartMs());
-  } else {
-    kLog.Info(
-        "Run of another process is stopped. endpoint={} task={} run={} "
-        "percent={} list_fence={}",
-        this->entry.id, reported.task, reported.run, reported.percent,
-        list_fence);
-  }
+  const bool counted = this->settled.LogListed(
+      this->entry.id, reported,
+      {this->parts.clock.Now(), list_fence, this->incarnation.StartMs()});
+  if (counted) this->parts.metrics.Count("runs.settled_in_progress");
   Run& run = this->runs[key];
   run.foreign = true;
   run.started = this->parts.clock.Now();
@@ -722,8 +713,7 @@
   this->fence = this->parts.tokens.NextClaim(
       this->parts.clock.WallMilliseconds(), this->fence);
   // Polls in flight were sent to the previous incarnation.
-  ++this->poll_generation;
-  this->polls_in_flight = 0;
+  this->failures.ForgetPolls();
   if (was_unreachable) {
     // Another process may have claimed the new incarnation.
     this->poll_timer.StartOnce(kClaimDelay, [this] { this->PollAgain(); });
@@ -733,6 +723,13 @@
   this->on_change();
 }
 
+void EndpointSession::OnReplaced(base::Duration pause) {
+  this->EndAllAsLost("another endpoint answers",
+                     SettlementEvidence::kEndpointReplaced);
+  this->SetState(SessionState::kClaiming, "another endpoint answers");
+  this->poll_timer.StartOnce(pause, [this] { this->PollAgain(); });
+}
+
 OrderTarget EndpointSession::Target(base::Duration timeout) const {
   return {this->entry.address, this->entry.id, this->fence, timeout};
 }
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -13,9 +13,11 @@
 #include "runs/endpoint_health.h"
 #include "runs/endpoint_orders.h"
 #include "runs/endpoint_run.h"
+#include "runs/failure_detector.h"
 #include "runs/fencing_token_generator.h"
 #include "runs/incarnation_tracker.h"
 #include "runs/lease_expiry.h"
+#include "runs/run_map.h"
 #include "runs/run_settings.h"
 #include "runs/session_state.h"
 #include "runs/settled_runs.h"
@@ -66,6 +68,8 @@
   std::uint64_t Fence() const { return this->fence; }
   const EndpointHealth& Health() const { return this->health; }
   std::size_t RunCount() const { return this->runs.size(); }
+  /// Returns whether orders to the endpoint were lost in the last seconds.
+  bool IsLossy() const { return this->failures.IsLossy(); }
 
   /// Returns whether the endpoint accepts tasks at present.
   bool IsOpen() const;
@@ -83,7 +87,6 @@
   void Stop(const std::string& task, std::uint64_t run);
 
  private:
-  using RunKey = std::pair<std::string, std::uint64_t>;
   using Run = EndpointRun;
   using RunState = EndpointRun::State;
 
@@ -91,17 +94,24 @@
   void SendStart(const RunKey& key);
   void SendHeld();
   void EndHeld();
-  std::vector<RunKey> HeldRuns() const;
   void Poll(base::Duration wait, bool raise_fence);
   void PollAgain();
   void RaiseFence();
   void Probe();
+  void ArmCheck();
+  bool IsCovering() const;
+  void CheckPolls();
   void OnPollReply(const PollOrder& order, const SentOrder& sent,
+                   FailureDetector::PollState poll_state,
                    const PollReply& reply);
   void OnPollAccepted(const PollOrder& order, const SentOrder& sent,
                       const PollReply& reply);
-  void OnPollFailed(const OrderReply& reply);
+  void OnPollFailed(const SentOrder& sent,
+                    FailureDetector::PollState poll_state,
+                    const OrderReply& reply);
+  void OnSilence(const char* cause);
   void OnFenced(std::uint64_t order_fence);
+  void AwaitLeaseExpiry(const char* cause);
   void ProcessEnds(const PollReply& reply);
   void ProcessRunning(const PollOrder& order, const PollReply& reply);
   void UpdateProgress(const ActiveRun& reported);
@@ -109,9 +119,10 @@
   void AddForeign(const ActiveRun& reported, std::uint64_t list_fence);
   void OnStartReply(const RunKey& key, const SentOrder& sent,
                     const OrderReply& reply);
+  void OnReplaced(base::Duration pause);
   void SendStop(const RunKey& key);
   void Recheck();
-  bool HasMissedRecheck() const;
+  void RepeatPoll();
   bool CheckIncarnation(std::int64_t reported_start_ms);
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
@@ -131,24 +142,20 @@
   /// one may be of another kind.
   bool entry_outdated = false;
   std::uint64_t fence = 0;
-  std::map<RunKey, Run> runs;
+  RunMap runs;
   std::uint64_t last_start_number = 0;
   SettledRuns settled;
   IncarnationTracker incarnation;
   LeaseExpiry lease_expiry;
-  /// Number of polls in flight that were sent since `poll_generation` last
-  /// rose.
-  int polls_in_flight = 0;
-  std::uint64_t poll_generation = 0;
-  /// Failed polls in a row.
-  int failures = 0;
+  FailureDetector failures;
   /// Raises of the fencing token since the last accepted poll.
   int fence_raises = 0;
   /// Whether a recheck is in progress: a poll with a raised token was sent, and
-  /// no poll has confirmed the current token or failed since.
+  /// no poll has confirmed the current token since.
   bool recheck_due = false;
   bool probe_in_flight = false;
   base::Timer poll_timer;
+  base::Timer check_timer;
   base::Timer lease_expiry_timer;
   /// False once the session is destroyed; pending callbacks then do nothing.
   std::shared_ptr<bool> callback_guard = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/libs/runs/run_map.cc
@@ -0,0 +1,74 @@
+#include "runs/run_map.h"
+
+#include <algorithm>
+#include <set>
+
+#include "runs/endpoint_orders.h"
+
+namespace hawthornwheel::runs {
+namespace {
+
+using State = EndpointRun::State;
+
+template <typename Predicate>
+bool AnyRun(const RunMap& runs, Predicate matches) {
+  return std::any_of(runs.begin(), runs.end(), [&matches](const auto& item) {
+    return matches(item.second);
+  });
+}
+
+}  // namespace
+
+std::vector<RunKey> HeldRuns(const RunMap& runs) {
+  std::vector<RunKey> held;
+  for (const auto& [key, run] : runs) {
+    if (run.state == State::kHeld) held.push_back(key);
+  }
+  return held;
+}
+
+bool HasLease(const RunMap& runs) {
+  return AnyRun(runs, [](const EndpointRun& run) {
+    return !run.foreign && run.state != State::kStopping;
+  });
+}
+
+bool IsAnyWatched(const RunMap& runs, base::TimePoint now) {
+  return AnyRun(runs,
+                [now](const EndpointRun& run) { return run.IsWatched(now); });
+}
+
+bool HasStartUnder(const RunMap& runs, std::uint64_t fence) {
+  return AnyRun(runs,
+                [fence](const EndpointRun& run) { return run.fence == fence; });
+}
+
+bool HasOverdueStart(const RunMap& runs, std::uint64_t fence) {
+  return AnyRun(runs, [fence](const EndpointRun& run) {
+    return run.state == State::kStarting && !run.timer->IsActive() &&
+           run.fence == fence;
+  });
+}
+
+std::vector<std::pair<RunKey, EndpointRun::Settlement>> ApplyList(
+    RunMap& runs, const PollReply& reply, std::uint64_t fence,
+    std::int64_t incarnation_start_ms, base::Duration stop_time) {
+  std::set<RunKey> present;
+  for (const ActiveRun& reported : reply.running) {
+    present.emplace(reported.task, reported.run);
+  }
+  std::vector<std::pair<RunKey, EndpointRun::Settlement>> settlements;
+  for (auto& [key, run] : runs) {
+    if (run.state == State::kHeld) continue;
+    if (present.contains(key)) {
+      run.OnListed(incarnation_start_ms);
+      continue;
+    }
+    const auto settlement =
+        run.SettlementIfAbsent(fence, reply.order.clock_ms, stop_time);
+    if (settlement) settlements.emplace_back(key, *settlement);
+  }
+  return settlements;
+}
+
+}  // namespace hawthornwheel::runs
--- a/src/libs/runs/session_state.h
+++ b/src/libs/runs/session_state.h
@@ -8,7 +8,9 @@
   kClaiming,
   /// The endpoint has confirmed the fencing token.
   kReady,
-  /// Two polls in a row have failed, or the first probe is not answered yet.
+  /// Several orders in a row have no answer (FailureDetector), or the first
+  /// probe
+  /// is not answered yet.
   kUnreachable,
   /// A higher fencing token is in force: another process holds the endpoint.
   kFencedOff,
--- a/src/libs/runs/settled_runs.h
+++ b/src/libs/runs/settled_runs.h
@@ -11,6 +11,8 @@
 
 namespace hawthornwheel::runs {
 
+struct ActiveRun;
+
 /// Why a session counts a run as ended without a report of its end.
 enum class SettlementEvidence {
   /// A list of runs under a higher fencing token does not show the run.
@@ -48,6 +50,15 @@
     base::TimePoint time;
   };
 
+  /// List of runs in progress.
+  struct List {
+    base::TimePoint time;
+    /// Fencing token of its poll.
+    std::uint64_t fence = 0;
+    /// Start of the endpoint's incarnation in Unix milliseconds.
+    std::int64_t incarnation_start_ms = 0;
+  };
+
   void Add(const std::string& task, std::uint64_t run,
            const Settlement& settlement);
 
@@ -56,6 +67,11 @@
   std::optional<Settlement> Find(const std::string& task,
                                  std::uint64_t run) const;
 
+  /// Logs a run that a list shows and that the session does not count as open.
+  /// Returns whether the run was settled.
+  bool LogListed(const std::string& endpoint, const ActiveRun& reported,
+                 const List& list) const;
+
   /// Forgets the runs that were settled so long ago that no order of theirs can
   /// still be carried out.
   void DropExpired(base::TimePoint now);
