Jobs: value of an answer as a module of its own

Change: the probabilities and the expected value of an answer move from endpoint_choice.cc to answer_value.cc, where the value can also be computed for a start after a wait. The checks of an endpoint are declared for other modules, and ChooseFreeEndpoint() chooses without the comparison with busy endpoints. No decision changes.

--- /dev/null
+++ b/src/libs/jobs/answer_value.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace hawthornwheel::jobs {
+
+struct TaskRequirements;
+
+/// Value of an answer that meets the deadline but misses the objective; one
+/// that meets both has the value 1.
+inline constexpr double kLateAnswerValue = 0.2;
+
+/// Returns the probability that a value stays below `ratio` times its estimate.
+/// The logarithm of the value is normally distributed around that of the
+/// estimate with the standard deviation `log_std_dev`.
+double ProbabilityBelow(double ratio, double log_std_dev);
+
+/// Returns the probability that a task that starts now at an endpoint of pace
+/// `pace` ends by the deadline.
+double DeadlineProbability(double pace, const TaskRequirements& requirements);
+
+/// Returns the expected value of the answer of a task that starts at an
+/// endpoint of pace `pace` after `wait`.
+double ExpectedValue(double pace, const TaskRequirements& requirements,
+                     base::Duration wait = base::Duration{0});
+
+}  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -1,9 +1,10 @@
 #include "jobs/endpoint_choice.h"
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 
+#include "jobs/answer_value.h"
+
 namespace hawthornwheel::jobs {
 namespace {
 
@@ -16,11 +17,6 @@
 constexpr double kOtherDomainCost = 0.09;
 constexpr double kSameDomainCostPerJob = 0.2;
 constexpr double kOtherDomainCostPerJob = 0.24;
-// Standard deviation of the logarithm of the learned pace.
-constexpr double kPaceLogStdDev = 0.15;
-// Value of an answer that meets the deadline but misses the objective; one
-// that meets both has the value 1.
-constexpr double kLateAnswerValue = 0.2;
 // Cost of an endpoint of pace 1; one that is twice as fast costs twice as much,
 // since longer tasks may need it.
 constexpr double kFastEndpointCost = 0.08;
@@ -48,45 +44,6 @@
   return 0;
 }
 
-bool HasLabel(const Candidate& candidate, const std::string& label) {
-  return candidate.labels != nullptr &&
-         std::find(candidate.labels->begin(), candidate.labels->end(), label) !=
-             candidate.labels->end();
-}
-
-// Returns whether the task may run at the endpoint, whatever its free capacity.
-bool IsAllowed(const Candidate& candidate,
-               const TaskRequirements& requirements) {
-  if (candidate.service != requirements.service) return false;
-  if (!requirements.label.empty() && !HasLabel(candidate, requirements.label))
-    return false;
-  return requirements.avoid == nullptr || requirements.avoid->empty() ||
-         !requirements.avoid->contains(std::string(candidate.endpoint));
-}
-
-// Tasks that need no resources are not started at endpoints without free CPU
-// either: their capacity may be unknown or reserved.
-bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements) {
-  return candidate.free.cpu_milli > 0 &&
-         requirements.resources.FitsInto(candidate.free);
-}
-
-// Returns the probability that a value stays below `ratio` times its estimate.
-// The logarithm of the value is normally distributed around that of the
-// estimate with the standard deviation `log_std_dev`.
-double ProbabilityBelow(double ratio, double log_std_dev) {
-  if (ratio <= 0) return 0;
-  return 0.5 * std::erfc(-std::log(ratio) / (log_std_dev * std::sqrt(2.0)));
-}
-
-double DeadlineProbability(double pace, const TaskRequirements& requirements) {
-  const double expected =
-      std::max(static_cast<double>(requirements.estimate.count()) * pace, 1.0);
-  return ProbabilityBelow(
-      static_cast<double>(requirements.deadline.count()) / expected,
-      requirements.estimate_log_std_dev);
-}
-
 // Returns the lowest pace among the endpoints where the task may run.
 double BestPace(const std::vector<Candidate>& candidates,
                 const TaskRequirements& requirements) {
@@ -109,12 +66,8 @@
 }
 
 double Score(const Candidate& candidate, const TaskRequirements& requirements,
-             double pace, double deadline_probability) {
-  const double objective_probability =
-      ProbabilityBelow(requirements.objective_pace / pace, kPaceLogStdDev);
-  const double expected_value =
-      deadline_probability *
-      (kLateAnswerValue + (1 - kLateAnswerValue) * objective_probability);
+             double pace) {
+  const double expected_value = ExpectedValue(pace, requirements);
   const double leftover_ratio =
       static_cast<double>(candidate.free.cpu_milli -
                           requirements.resources.cpu_milli) /
@@ -126,27 +79,19 @@
          kLeftoverCpuWeight * std::min(leftover_ratio, 2.0);
 }
 
-}  // namespace
-
-double PaceFor(const Candidate& candidate,
-               const TaskRequirements& requirements) {
-  const bool far = !requirements.near_label.empty() &&
-                   !HasLabel(candidate, requirements.near_label);
-  return far ? candidate.pace * requirements.far_factor : candidate.pace;
-}
-
-Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
-                          const TaskRequirements& requirements) {
-  const double min_probability = MinProbability(candidates, requirements);
+// Returns the best endpoint with free capacity where the probability of meeting
+// the deadline is at least `min_probability`, or null.
+Candidate* ChooseAbove(std::vector<Candidate>& candidates,
+                       const TaskRequirements& requirements,
+                       double min_probability) {
   Candidate* best = nullptr;
   double best_score = 0;
   for (Candidate& candidate : candidates) {
     if (!HasRoom(candidate, requirements)) continue;
     if (!IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
-    const double probability = DeadlineProbability(pace, requirements);
-    if (probability < min_probability) continue;
-    const double score = Score(candidate, requirements, pace, probability);
+    if (DeadlineProbability(pace, requirements) < min_probability) continue;
+    const double score = Score(candidate, requirements, pace);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
     best_score = score;
@@ -154,6 +99,50 @@
   return best;
 }
 
+}  // namespace
+
+bool HasLabel(const Candidate& candidate, const std::string& label) {
+  return candidate.labels != nullptr &&
+         std::find(candidate.labels->begin(), candidate.labels->end(), label) !=
+             candidate.labels->end();
+}
+
+bool IsAllowed(const Candidate& candidate,
+               const TaskRequirements& requirements) {
+  if (candidate.service != requirements.service) return false;
+  if (!requirements.label.empty() && !HasLabel(candidate, requirements.label))
+    return false;
+  return requirements.avoid == nullptr || requirements.avoid->empty() ||
+         !requirements.avoid->contains(std::string(candidate.endpoint));
+}
+
+bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements) {
+  return candidate.free.cpu_milli > 0 &&
+         requirements.resources.FitsInto(candidate.free);
+}
+
+double PaceFor(const Candidate& candidate,
+               const TaskRequirements& requirements) {
+  const bool far = !requirements.near_label.empty() &&
+                   !HasLabel(candidate, requirements.near_label);
+  return far ? candidate.pace * requirements.far_factor : candidate.pace;
+}
+
+Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
+                          const TaskRequirements& requirements) {
+  return ChooseAbove(candidates, requirements,
+                     MinProbability(candidates, requirements));
+}
+
+Candidate* ChooseFreeEndpoint(std::vector<Candidate>& candidates,
+                              const TaskRequirements& requirements) {
+  return ChooseAbove(candidates, requirements, kMinDeadlineProbability);
+}
+
+bool MayEndInTime(double pace, const TaskRequirements& requirements) {
+  return DeadlineProbability(pace, requirements) >= kMinDeadlineProbability;
+}
+
 void Reserve(std::vector<Candidate>& candidates,
              const TaskRequirements& requirements) {
   const double min_probability = MinProbability(candidates, requirements);
@@ -193,8 +182,7 @@
 
 bool CanMeetDeadline(const std::vector<Candidate>& candidates,
                      const TaskRequirements& requirements) {
-  return DeadlineProbability(BestPace(candidates, requirements),
-                             requirements) >= kMinDeadlineProbability;
+  return MayEndInTime(BestPace(candidates, requirements), requirements);
 }
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -56,6 +56,28 @@
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements);
 
+/// Returns the best endpoint as ChooseEndpoint() does, but also when one
+/// without free capacity is much more likely to run the task in time.
+Candidate* ChooseFreeEndpoint(std::vector<Candidate>& candidates,
+                              const TaskRequirements& requirements);
+
+/// Returns whether a task may meet its deadline at an endpoint of pace `pace`.
+/// Below this chance, a placement would be only nominal.
+bool MayEndInTime(double pace, const TaskRequirements& requirements);
+
+/// Returns whether the endpoint has the label.
+bool HasLabel(const Candidate& candidate, const std::string& label);
+
+/// Returns whether the task may run at the endpoint, whatever its free
+/// capacity.
+bool IsAllowed(const Candidate& candidate,
+               const TaskRequirements& requirements);
+
+/// Returns whether the endpoint has enough free capacity for the task. Tasks
+/// that need no resources are not started at endpoints without free CPU either:
+/// their capacity may be unknown or reserved.
+bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements);
+
 /// Withdraws the free capacity of the endpoints that the task would use if they
 /// had enough, so that tasks of later jobs leave it to this one.
 void Reserve(std::vector<Candidate>& candidates,
