Jobs: a waiting task reserves one endpoint

Cause: a waiting task withdrew the free capacity of every endpoint that it might use.

Change: each waiting task claims one endpoint, the one that is expected to have enough free capacity first, and several tasks claim different ones. The time counts the next end there, and the missing share of the capacity in run times, so that an endpoint where capacity was kept stays ahead of others. Reserve() gets the time and the number of tasks; the call in endpoint_choice_test passes it, its checks are unchanged.

Conclusion: smaller jobs use the endpoints that a large task does not get first.

--- a/src/libs/jobs/candidate.h
+++ b/src/libs/jobs/candidate.h
@@ -35,6 +35,8 @@
   /// Time at which the next run there is expected to end; empty if unknown or
   /// when nothing runs there.
   std::optional<base::TimePoint> next_free;
+  /// Whether a waiting task of this pass counts on the endpoint's next place.
+  bool claimed = false;
   /// Labels of the endpoint; null for none.
   const std::vector<std::string>* labels = nullptr;
   /// Start of the incarnation that has these labels and this capacity, in Unix
--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -1,7 +1,9 @@
 #include "jobs/endpoint_choice.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <optional>
+#include <utility>
 
 #include "jobs/answer_value.h"
 
@@ -99,6 +101,27 @@
   return best;
 }
 
+// Returns the expected time until a busy endpoint has enough free capacity for
+// the task. The size of its runs is unknown: the more capacity is missing, the
+// more often it takes more than the next end, about a run time later. Free
+// capacity that was reserved in earlier passes therefore keeps the endpoint
+// ahead of others.
+base::Duration TimeToRoom(const Candidate& candidate,
+                          const TaskRequirements& requirements,
+                          base::TimePoint now) {
+  const base::Duration next_end =
+      candidate.next_free
+          ? std::max(*candidate.next_free - now, base::Duration{0})
+          : requirements.estimate;
+  const auto needed = static_cast<double>(
+      std::max<std::int64_t>(requirements.resources.cpu_milli, 1));
+  const double missing_share = std::clamp(
+      1 - static_cast<double>(candidate.free.cpu_milli) / needed, 0.0, 1.0);
+  return next_end + base::Duration(static_cast<base::Duration::rep>(
+                        missing_share *
+                        static_cast<double>(requirements.estimate.count())));
+}
+
 }  // namespace
 
 bool HasLabel(const Candidate& candidate, const std::string& label) {
@@ -143,16 +166,29 @@
   return DeadlineProbability(pace, requirements) >= kMinDeadlineProbability;
 }
 
+void Claim(Candidate& candidate) {
+  candidate.free = {};
+  candidate.claimed = true;
+}
+
 void Reserve(std::vector<Candidate>& candidates,
-             const TaskRequirements& requirements) {
+             const TaskRequirements& requirements, base::TimePoint now,
+             int tasks) {
   const double min_probability = MinProbability(candidates, requirements);
+  std::vector<std::pair<base::Duration, Candidate*>> in_time;
   for (Candidate& candidate : candidates) {
-    if (candidate.free.cpu_milli <= 0) continue;
-    if (!IsAllowed(candidate, requirements)) continue;
+    if (candidate.claimed || !IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
-    if (DeadlineProbability(pace, requirements) >= min_probability)
-      candidate.free = {};
+    if (DeadlineProbability(pace, requirements) < min_probability) continue;
+    in_time.emplace_back(TimeToRoom(candidate, requirements, now), &candidate);
   }
+  const auto count = std::min(static_cast<std::ptrdiff_t>(tasks),
+                              static_cast<std::ptrdiff_t>(in_time.size()));
+  std::partial_sort(
+      in_time.begin(), in_time.begin() + count, in_time.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (auto item = in_time.begin(); item != in_time.begin() + count; ++item)
+    Claim(*item->second);
 }
 
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -78,10 +78,17 @@
 /// their capacity may be unknown or reserved.
 bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements);
 
-/// Withdraws the free capacity of the endpoints that the task would use if they
-/// had enough, so that tasks of later jobs leave it to this one.
+/// Claims the endpoint for a waiting task: withdraws its free capacity and its
+/// next place from the tasks of later jobs.
+void Claim(Candidate& candidate);
+
+/// Claims one endpoint for each of `tasks` waiting tasks: among those that are
+/// likely to run the task in time, the one that is expected to have enough free
+/// capacity first. Otherwise a task that needs much capacity would never find
+/// an endpoint that has enough.
 void Reserve(std::vector<Candidate>& candidates,
-             const TaskRequirements& requirements);
+             const TaskRequirements& requirements, base::TimePoint now,
+             int tasks = 1);
 
 /// Counts the tasks of one kind for which the candidates have free capacity.
 struct FreeRoom {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -71,6 +71,8 @@
   int refused_placements = 0;
   /// Tasks that wait for an endpoint.
   int waiting_tasks = 0;
+  /// Tasks that found no endpoint in the latest pass.
+  int tasks_without_endpoint = 0;
   int done_tasks = 0;
   /// Tasks that are placed at present.
   int placed_tasks = 0;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -268,10 +268,11 @@
                    "cannot meet the deadline");
       continue;
     }
-    // Later jobs leave these endpoints to this one; otherwise a large task
-    // would never find an endpoint with enough free capacity.
+    // Later jobs leave one endpoint to each waiting task of this one; otherwise
+    // a large task would never find an endpoint with enough free capacity.
     tasks_waiting = true;
-    Reserve(candidates, this->RequirementsOf(*job));
+    Reserve(candidates, this->RequirementsOf(*job), this->clock.Now(),
+            job->tasks_without_endpoint);
     if (!HasFreeCapacity(candidates)) break;
   }
   this->placer.SetTasksWaiting(tasks_waiting);
@@ -320,7 +321,14 @@
       if (!placed) refused.insert(std::string(candidate->endpoint));
     }
     if (placed) continue;
-    if (refused.empty()) return Placement::kNoEndpoint;
+    if (refused.empty()) {
+      job.tasks_without_endpoint = static_cast<int>(std::count_if(
+          job.tasks.begin() + static_cast<std::ptrdiff_t>(index),
+          job.tasks.end(), [](const Job::Task& other) {
+            return other.state == Job::TaskState::kWaiting;
+          }));
+      return Placement::kNoEndpoint;
+    }
     result = Placement::kRefused;
   }
   return result;
--- a/tests/jobs/endpoint_choice_test.cc
+++ b/tests/jobs/endpoint_choice_test.cc
@@ -149,7 +149,7 @@
   std::vector<Candidate> candidates = {
       MakeCandidate("slow", 1.67),
       MakeCandidate("fast", 0.62, Distance::kLocal, 5'000)};
-  Reserve(candidates, MakeRequirements(1'300));
+  Reserve(candidates, MakeRequirements(1'300), base::TimePoint{});
   EXPECT_EQ(candidates[0].free.cpu_milli, 16'000);
   EXPECT_EQ(candidates[1].free.cpu_milli, 0);
 }
