Jobs: a task waits for a better endpoint while that pays

Cause: a task that wants a rack took any free endpoint at once, where it takes `far_factor` times as long and mostly misses its objective. A long task for which only slow endpoints were free waited without knowing whether a fast one would be free in time, and its job was rejected although endpoints were free.

Change: PlacementWait compares the expected value of the answer at the best free endpoint with that at a busy one after its expected next end. A waiting task claims the place it waits for, so that a burst of jobs for one rack spreads. Each wait has an end of its own, and a long task takes a free endpoint that may meet the deadline before its job would be rejected. Times and order of jobs move from job_coordinator.cc to job.cc. Metrics `jobs.waits_for_better`, `waits_in_vain`, `better_wait_ms`, `near_placements`, `away_placements`, and a log line.

Also passed: job_coordinator_test, reserve_test, endpoint_choice_test, job_relay_test, hosted_rules_test, hosted_fault_test, connection_reset_test, heartbeat_test.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -13,6 +13,7 @@
 #include "jobs/job_answer.h"
 #include "jobs/job_request.h"
 #include "jobs/placer.h"
+#include "jobs/task_wait.h"
 
 namespace hawthornwheel::jobs {
 
@@ -42,6 +43,7 @@
     /// Set while the run is being stopped to restart the task at another
     /// endpoint.
     bool moving = false;
+    TaskWait wait;
     /// Endpoints where a run of the task failed, was lost or was overdue.
     std::set<std::string> avoid;
   };
@@ -71,7 +73,8 @@
   int refused_placements = 0;
   /// Tasks that wait for an endpoint.
   int waiting_tasks = 0;
-  /// Tasks that found no endpoint in the latest pass.
+  /// Tasks that found no endpoint in the latest pass; those that wait for a
+  /// better one are not among them.
   int tasks_without_endpoint = 0;
   int done_tasks = 0;
   /// Tasks that are placed at present.
@@ -97,6 +100,18 @@
                : JobEnd::kRejected;
   }
 
+  /// Sets the times of a job that arrives at `now`.
+  void SetTimes(base::TimePoint now);
+
+  /// Returns whether its waiting tasks are placed before those of `other`. Jobs
+  /// that have started come first, since a job is answered only after its last
+  /// task; then jobs of more urgent routes, then those that must start soonest.
+  bool IsPlacedBefore(const Job& other) const;
+
+  /// Returns the time by which a task that waits for a better endpoint takes
+  /// another one, so that the job is not given up while endpoints are free.
+  base::TimePoint LatestPlacement() const;
+
   /// Returns whether a caller is known to wait still.
   bool IsAwaited() const;
 
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -17,15 +17,6 @@
 
 constexpr base::Logger kLog("job");
 
-// Share of its latency objective for which a job waits for a free endpoint
-// before it is rejected. The caller can then still submit it elsewhere; after a
-// longer wait, the job would miss the objective anyway.
-constexpr double kMaxWaitShare = 0.22;
-// Declared run times are rough. The wait is a share of the objective that
-// follows from a low estimate, one standard deviation below the declared one:
-// the caller of a job that is shorter than declared must not wait longer than
-// its objective allows.
-constexpr double kLowEstimateFactor = 0.64;
 // Time for which answers are kept, since copies of a job may arrive seconds
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
@@ -54,40 +45,12 @@
       static_cast<double>(span.count()) * factor));
 }
 
-// Returns whether the waiting tasks of `a` are placed before those of `b`. Jobs
-// that have started come first, since a job is answered only after its last
-// task; then jobs of more urgent routes, then those that must start soonest.
-bool IsPlacedBefore(const Job& a, const Job& b) {
-  if (a.MayHaveRun() != b.MayHaveRun()) return a.MayHaveRun();
-  if (a.route.priority != b.route.priority) {
-    return a.route.priority < b.route.priority;
-  }
-  return a.latest_start < b.latest_start;
-}
-
 bool HasFreeCapacity(const std::vector<Candidate>& candidates) {
   return std::any_of(
       candidates.begin(), candidates.end(),
       [](const Candidate& candidate) { return candidate.free.cpu_milli > 0; });
 }
 
-// Chooses an endpoint for a task, without those in `refused`.
-Candidate* ChooseFor(const Job::Task& task,
-                     const std::set<std::string>& refused,
-                     std::vector<Candidate>& candidates,
-                     TaskRequirements requirements) {
-  std::set<std::string> avoid = task.avoid;
-  avoid.insert(refused.begin(), refused.end());
-  requirements.avoid = &avoid;
-  Candidate* candidate = ChooseEndpoint(candidates, requirements);
-  if (candidate == nullptr && task.failed_runs > 0) {
-    // An endpoint where the task failed before is better than none.
-    requirements.avoid = &refused;
-    candidate = ChooseEndpoint(candidates, requirements);
-  }
-  return candidate;
-}
-
 // Returns whether a placement ended without a run that is known.
 bool IsWithoutRun(RunOutcome outcome) {
   return outcome == RunOutcome::kNotRun || outcome == RunOutcome::kStaleRun ||
@@ -111,8 +74,10 @@
       catalog(catalog),
       placer(placer),
       settings(settings),
+      wait(metrics),
       placement_timer(clock),
       retry_timer(clock),
+      wait_timer(clock),
       expiry_timer(clock) {
   this->expiry_timer.StartPeriodic(kExpiryInterval,
                                    [this] { this->DropExpiredAnswers(); });
@@ -203,31 +168,13 @@
   job->nominal_run_time = job->request.estimate;
   job->timer = std::make_unique<base::Timer>(this->clock);
   job->callers.push_back(std::move(caller));
-  this->SetTimes(*job);
+  job->SetTimes(this->clock.Now());
   this->metrics.Count("jobs.submitted");
   this->jobs[job->request.id] = job;
   this->ArmTimer(*job);
   this->SchedulePlacement();
 }
 
-void JobCoordinator::SetTimes(Job& job) const {
-  job.arrival = this->clock.Now();
-  const base::Duration objective =
-      Scale(job.request.estimate, job.route.objective_stretch) +
-      job.route.objective_slack;
-  job.objective_end = job.arrival + objective;
-  const base::Duration low_objective =
-      Scale(job.request.estimate,
-            job.route.objective_stretch * kLowEstimateFactor) +
-      job.route.objective_slack;
-  job.latest_start = job.arrival + Scale(low_objective, kMaxWaitShare);
-  base::Duration timeout = job.route.timeout;
-  if (job.request.caller_timeout > base::Duration{0}) {
-    timeout = std::min(timeout, job.request.caller_timeout);
-  }
-  job.deadline = job.arrival + timeout;
-}
-
 void JobCoordinator::SchedulePlacement() {
   if (this->placement_timer.IsActive()) return;
   this->placement_timer.StartOnce(base::Duration{0},
@@ -245,9 +192,10 @@
   }
   std::sort(waiting_jobs.begin(), waiting_jobs.end(),
             [](const JobPointer& a, const JobPointer& b) {
-              return IsPlacedBefore(*a, *b);
+              return a->IsPlacedBefore(*b);
             });
   std::vector<Candidate> candidates = this->placer.Candidates();
+  this->wait.BeginPass(this->clock.Now());
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
     if (!job->IsAwaited()) {
@@ -257,6 +205,10 @@
     }
     const Placement placement = this->PlaceTasks(*job, candidates);
     if (placement == Placement::kComplete) continue;
+    if (placement == Placement::kWaits) {
+      tasks_waiting = true;
+      continue;
+    }
     if (placement == Placement::kRefused) {
       // The endpoints may accept other tasks, so none is reserved.
       tasks_waiting = true;
@@ -276,6 +228,10 @@
     if (!HasFreeCapacity(candidates)) break;
   }
   this->placer.SetTasksWaiting(tasks_waiting);
+  const auto next_end = this->wait.NextEnd();
+  if (!next_end) return;
+  this->wait_timer.StartOnce(*next_end - this->clock.Now(),
+                             [this] { this->PlaceWaitingTasks(); });
 }
 
 void JobCoordinator::RetryPlacement() {
@@ -314,19 +270,26 @@
     if (this->HasEndingRun(job, index)) continue;
     std::set<std::string> refused;
     bool placed = false;
+    bool waits = false;
     while (!placed) {
-      Candidate* candidate = ChooseFor(task, refused, candidates, requirements);
-      if (candidate == nullptr) break;
-      placed = this->PlaceTask(job, index, *candidate, requirements);
-      if (!placed) refused.insert(std::string(candidate->endpoint));
+      const PlacementWait::Decision decision =
+          this->ChooseFor(job, task, refused, candidates, requirements);
+      waits = decision.waits;
+      if (decision.endpoint == nullptr) break;
+      placed = this->PlaceTask(job, index, *decision.endpoint, requirements);
+      if (!placed) refused.insert(std::string(decision.endpoint->endpoint));
     }
     if (placed) continue;
+    if (waits) {
+      if (result == Placement::kComplete) result = Placement::kWaits;
+      continue;
+    }
     if (refused.empty()) {
-      job.tasks_without_endpoint = static_cast<int>(std::count_if(
-          job.tasks.begin() + static_cast<std::ptrdiff_t>(index),
-          job.tasks.end(), [](const Job::Task& other) {
-            return other.state == Job::TaskState::kWaiting;
-          }));
+      job.tasks_without_endpoint = static_cast<int>(
+          std::count_if(job.tasks.begin() + static_cast<std::ptrdiff_t>(index),
+                        job.tasks.end(), [](const Job::Task& other) {
+                          return other.state == Job::TaskState::kWaiting;
+                        }));
       return Placement::kNoEndpoint;
     }
     result = Placement::kRefused;
@@ -334,6 +297,24 @@
   return result;
 }
 
+// Chooses an endpoint for a task, without those in `refused`, or decides that
+// it waits for a better one.
+PlacementWait::Decision JobCoordinator::ChooseFor(
+    const Job& job, Job::Task& task, const std::set<std::string>& refused,
+    std::vector<Candidate>& candidates, TaskRequirements requirements) {
+  std::set<std::string> avoid = task.avoid;
+  avoid.insert(refused.begin(), refused.end());
+  requirements.avoid = &avoid;
+  Candidate* candidate = ChooseEndpoint(candidates, requirements);
+  if (candidate == nullptr && task.failed_runs > 0) {
+    // An endpoint where the task failed before is better than none.
+    requirements.avoid = &refused;
+    candidate = ChooseEndpoint(candidates, requirements);
+  }
+  return this->wait.Decide(candidate, candidates, requirements,
+                           job.LatestPlacement(), task.wait);
+}
+
 bool JobCoordinator::PlaceTask(Job& job, std::size_t index,
                                Candidate& candidate,
                                const TaskRequirements& requirements) {
@@ -359,6 +340,8 @@
     --task.run;
     return false;
   }
+  this->wait.RecordPlacement(job.request.id, index, candidate, requirements,
+                             task.wait);
   candidate.free -= order.resources;
   task.state = Job::TaskState::kPlaced;
   --job.waiting_tasks;
@@ -649,7 +632,7 @@
 int JobCoordinator::TasksAheadOf(const Job& job) const {
   int tasks = 0;
   for (const auto& [id, other] : this->jobs) {
-    if (other->waiting_tasks > 0 && IsPlacedBefore(*other, job))
+    if (other->waiting_tasks > 0 && other->IsPlacedBefore(job))
       tasks += other->waiting_tasks;
   }
   return tasks;
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "jobs/job_gateway.h"
 #include "jobs/job_settings.h"
 #include "jobs/overdue_action.h"
+#include "jobs/placement_wait.h"
 #include "jobs/retry_advisor.h"
 
 namespace hawthornwheel::base {
@@ -87,6 +89,8 @@
     kComplete,
     /// No endpoint has enough free capacity for a task.
     kNoEndpoint,
+    /// Tasks wait for a better endpoint than those that are free.
+    kWaits,
     /// Endpoints have refused a task, for example since a copy of it is open
     /// there.
     kRefused,
@@ -103,8 +107,11 @@
   bool JoinOrReject(const std::string& id, Job::Caller& caller);
   void Begin(JobRequest request, const catalog::Route& route,
              std::uint64_t version, Job::Caller caller);
-  void SetTimes(Job& job) const;
   Placement PlaceTasks(Job& job, std::vector<Candidate>& candidates);
+  PlacementWait::Decision ChooseFor(const Job& job, Job::Task& task,
+                                    const std::set<std::string>& refused,
+                                    std::vector<Candidate>& candidates,
+                                    TaskRequirements requirements);
   void RetryPlacement();
   bool PlaceTask(Job& job, std::size_t index, Candidate& candidate,
                  const TaskRequirements& requirements);
@@ -134,6 +141,7 @@
   Placer& placer;
   const JobSettings& settings;
   RetryAdvisor advisor;
+  PlacementWait wait;
   std::map<std::string, JobPointer> jobs;
   /// Answers of jobs that were completed or failed in the last seconds, for
   /// callers that submit a job again.
@@ -146,6 +154,9 @@
   base::Timer placement_timer;
   /// Repeats the placement while the caller of a job is not known to wait.
   base::Timer retry_timer;
+  /// Repeats the placement when a task has waited for a better endpoint for
+  /// long enough.
+  base::Timer wait_timer;
   base::Timer expiry_timer;
 };
 
--- a/tests/support/hosted_fleet.cc
+++ b/tests/support/hosted_fleet.cc
@@ -24,15 +24,16 @@
 
 void HostedFleet::AddEndpoint(const std::string& id, const std::string& domain,
                               std::int64_t cpu_milli, double pace,
-                              double clock_rate) {
+                              double clock_rate, const std::string& label) {
   catalog::EndpointEntry entry;
   entry.id = id;
   entry.service = "s";
   entry.address = id;
   entry.domain = domain;
   entry.capacity = {cpu_milli, 32'768, 0};
+  if (!label.empty()) entry.labels.push_back(label);
   this->endpoints.Add(entry, pace, clock_rate);
-  this->entries[id] = {domain, cpu_milli, id, false};
+  this->entries[id] = {domain, cpu_milli, id, false, label};
   this->WriteEntry(id);
 }
 
@@ -43,6 +44,7 @@
   if (this->entries_name_start) {
     value += fmt::format(" start={}", this->endpoints.IncarnationOf(id));
   }
+  if (!record.label.empty()) value += " label=" + record.label;
   if (record.draining) value += " draining";
   this->store.Write(catalog::Topic::kEndpoints, id, value);
 }
--- a/tests/support/hosted_fleet.h
+++ b/tests/support/hosted_fleet.h
@@ -19,10 +19,11 @@
 
   /// Adds an endpoint with a capacity of `cpu_milli` thousandths of a core and
   /// writes its record to the store. `pace` is a factor on all run times,
-  /// `clock_rate` the speed of the endpoint's clock.
+  /// `clock_rate` the speed of the endpoint's clock. The endpoint has `label`
+  /// unless that is empty.
   void AddEndpoint(const std::string& id, const std::string& domain,
                    std::int64_t cpu_milli = 16'000, double pace = 1,
-                   double clock_rate = 1);
+                   double clock_rate = 1, const std::string& label = "");
 
   /// Crashes an endpoint and starts it again after `downtime`, with a new
   /// record once the store is up.
@@ -105,6 +106,7 @@
     std::int64_t cpu_milli = 0;
     std::string address;
     bool draining = false;
+    std::string label;
   };
 
   void WriteEntry(const std::string& id);
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -137,7 +137,14 @@
 
 void LeasedEndpoints::SetTask(const std::string& payload, base::Duration time,
                               RunEndKind kind) {
-  this->plans[payload] = {time, kind};
+  this->plans[payload] = {time, kind, "", 1};
+}
+
+void LeasedEndpoints::SetNear(const std::string& payload,
+                              const std::string& label, double far_factor) {
+  TaskPlan& plan = this->plans[payload];
+  plan.near_label = label;
+  plan.far_factor = far_factor;
 }
 
 std::size_t LeasedEndpoints::RunningAt(const std::string& id) const {
@@ -303,8 +310,13 @@
   run.payload = order.payload;
   run.started = this->clock.Now();
   run.end = plan.kind;
+  const std::vector<std::string>& labels = endpoint.entry.labels;
+  const bool far =
+      !plan.near_label.empty() &&
+      std::find(labels.begin(), labels.end(), plan.near_label) == labels.end();
   run.time = base::Duration(static_cast<base::Duration::rep>(
-      static_cast<double>(plan.time.count()) * endpoint.pace));
+      static_cast<double>(plan.time.count()) * endpoint.pace *
+      (far ? plan.far_factor : 1)));
   ++this->starts;
   ++this->starts_of[order.payload];
   this->CheckStart(endpoint, key);
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -100,6 +100,11 @@
   void SetTask(const std::string& payload, base::Duration time,
                runs::RunEndKind kind);
 
+  /// Makes runs of tasks with this payload take `far_factor` times as long at
+  /// endpoints without the label.
+  void SetNear(const std::string& payload, const std::string& label,
+               double far_factor);
+
   void Start(const std::string& process_domain, const runs::StartOrder& order,
              ProcessClock& process_clock,
              std::function<void(const runs::OrderReply&)> done);
@@ -205,6 +210,8 @@
   struct TaskPlan {
     base::Duration time{0};
     runs::RunEndKind kind = runs::RunEndKind::kDone;
+    std::string near_label;
+    double far_factor = 1;
   };
 
   /// Delivers an order: runs `handle` with its endpoint, unless the endpoint is
--- a/tests/support/plain_decoder.cc
+++ b/tests/support/plain_decoder.cc
@@ -15,6 +15,7 @@
 // default.
 constexpr char kStartPrefix[] = "start=";
 constexpr char kAddressPrefix[] = "address=";
+constexpr char kLabelPrefix[] = "label=";
 
 }  // namespace
 
@@ -64,6 +65,9 @@
       entry.incarnation_start_ms =
           std::stoll(word.substr(sizeof(kStartPrefix) - 1));
     }
+    if (word.starts_with(kLabelPrefix)) {
+      entry.labels.push_back(word.substr(sizeof(kLabelPrefix) - 1));
+    }
     if (word.starts_with(kAddressPrefix)) {
       entry.address = word.substr(sizeof(kAddressPrefix) - 1);
     }
