--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <optional>
+#include <utility>
 
-#include "jobs/log_normal.h"
+#include "jobs/answer_value.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -18,11 +20,6 @@
 constexpr double kOtherDomainCost = 0.09;
 constexpr double kSameDomainCostPerJob = 0.2;
 constexpr double kOtherDomainCostPerJob = 0.24;
-// Standard deviation of the logarithm of the learned pace.
-constexpr double kPaceLogStdDev = 0.15;
-// Value of an answer that meets the deadline but misses the objective; one
-// that meets both has the value 1.
-constexpr double kLateAnswerValue = 0.2;
 // Cost of an endpoint of pace 1 when endpoints of its kind are scarce; one that
 // is twice as fast costs twice as much, since longer tasks may need it.
 constexpr double kFastEndpointCost = 0.08;
@@ -57,37 +54,6 @@
   return 0;
 }
 
-bool HasLabel(const Candidate& candidate, const std::string& label) {
-  return candidate.labels != nullptr &&
-         std::find(candidate.labels->begin(), candidate.labels->end(), label) !=
-             candidate.labels->end();
-}
-
-// Returns whether the task may run at the endpoint, whatever its free capacity.
-bool IsAllowed(const Candidate& candidate,
-               const TaskRequirements& requirements) {
-  if (candidate.service != requirements.service) return false;
-  if (!requirements.label.empty() && !HasLabel(candidate, requirements.label))
-    return false;
-  return requirements.avoid == nullptr || requirements.avoid->empty() ||
-         !requirements.avoid->contains(std::string(candidate.endpoint));
-}
-
-// Tasks that need no resources are not started at endpoints without free CPU
-// either: their capacity may be unknown or reserved.
-bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements) {
-  return candidate.free.cpu_milli > 0 &&
-         requirements.resources.FitsInto(candidate.free);
-}
-
-double DeadlineProbability(double pace, const TaskRequirements& requirements) {
-  const double expected =
-      std::max(static_cast<double>(requirements.estimate.count()) * pace, 1.0);
-  return ProbabilityBelow(
-      static_cast<double>(requirements.deadline.count()) / expected,
-      requirements.estimate_log_std_dev);
-}
-
 // Returns the lowest pace among the endpoints where the task may run.
 double BestPace(const std::vector<Candidate>& candidates,
                 const TaskRequirements& requirements) {
@@ -121,12 +87,8 @@
 }
 
 double Score(const Candidate& candidate, const TaskRequirements& requirements,
-             double pace, double deadline_probability) {
-  const double objective_probability =
-      ProbabilityBelow(requirements.objective_pace / pace, kPaceLogStdDev);
-  const double expected_value =
-      deadline_probability *
-      (kLateAnswerValue + (1 - kLateAnswerValue) * objective_probability);
+             double pace) {
+  const double expected_value = ExpectedValue(pace, requirements);
   const double leftover_ratio =
       static_cast<double>(candidate.free.cpu_milli -
                           requirements.resources.cpu_milli) /
@@ -138,29 +100,22 @@
          kLeftoverCpuWeight * std::min(leftover_ratio, 2.0);
 }
 
-}  // namespace
-
-double PaceFor(const Candidate& candidate,
-               const TaskRequirements& requirements) {
-  const bool far = !requirements.near_label.empty() &&
-                   !HasLabel(candidate, requirements.near_label);
-  return far ? candidate.pace * requirements.far_factor : candidate.pace;
-}
-
-Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
-                          const TaskRequirements& requirements) {
-  const double best_probability = BestProbability(candidates, requirements);
+// Returns the best endpoint with free capacity where the probability of meeting
+// the deadline is at least that of MinProbability(), or null.
+Candidate* ChooseAbove(std::vector<Candidate>& candidates,
+                       const TaskRequirements& requirements,
+                       double best_probability) {
   Candidate* best = nullptr;
   double best_score = 0;
   for (Candidate& candidate : candidates) {
     if (!HasRoom(candidate, requirements)) continue;
     if (!IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
-    const double probability = DeadlineProbability(pace, requirements);
-    if (probability <
-        MinProbability(best_probability, candidate.capacity_value))
+    if (DeadlineProbability(pace, requirements) <
+        MinProbability(best_probability, candidate.capacity_value)) {
       continue;
-    const double score = Score(candidate, requirements, pace, probability);
+    }
+    const double score = Score(candidate, requirements, pace);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
     best_score = score;
@@ -168,17 +123,95 @@
   return best;
 }
 
+// Returns the expected time until a busy endpoint has enough free capacity for
+// the task. The size of its runs is unknown: the more capacity is missing, the
+// more often it takes more than the next end, about a run time later. Free
+// capacity that was reserved in earlier passes therefore keeps the endpoint
+// ahead of others.
+base::Duration TimeToRoom(const Candidate& candidate,
+                          const TaskRequirements& requirements,
+                          base::TimePoint now) {
+  const base::Duration next_end =
+      candidate.next_free
+          ? std::max(*candidate.next_free - now, base::Duration{0})
+          : requirements.estimate;
+  const auto needed = static_cast<double>(
+      std::max<std::int64_t>(requirements.resources.cpu_milli, 1));
+  const double missing_share = std::clamp(
+      1 - static_cast<double>(candidate.free.cpu_milli) / needed, 0.0, 1.0);
+  return next_end + base::Duration(static_cast<base::Duration::rep>(
+                        missing_share *
+                        static_cast<double>(requirements.estimate.count())));
+}
+
+}  // namespace
+
+bool HasLabel(const Candidate& candidate, const std::string& label) {
+  return candidate.labels != nullptr &&
+         std::find(candidate.labels->begin(), candidate.labels->end(), label) !=
+             candidate.labels->end();
+}
+
+bool IsAllowed(const Candidate& candidate,
+               const TaskRequirements& requirements) {
+  if (candidate.service != requirements.service) return false;
+  if (!requirements.label.empty() && !HasLabel(candidate, requirements.label))
+    return false;
+  return requirements.avoid == nullptr || requirements.avoid->empty() ||
+         !requirements.avoid->contains(std::string(candidate.endpoint));
+}
+
+bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements) {
+  return candidate.free.cpu_milli > 0 &&
+         requirements.resources.FitsInto(candidate.free);
+}
+
+double PaceFor(const Candidate& candidate,
+               const TaskRequirements& requirements) {
+  const bool far = !requirements.near_label.empty() &&
+                   !HasLabel(candidate, requirements.near_label);
+  return far ? candidate.pace * requirements.far_factor : candidate.pace;
+}
+
+Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
+                          const TaskRequirements& requirements) {
+  return ChooseAbove(candidates, requirements,
+                     BestProbability(candidates, requirements));
+}
+
+Candidate* ChooseFreeEndpoint(std::vector<Candidate>& candidates,
+                              const TaskRequirements& requirements) {
+  return ChooseAbove(candidates, requirements, 0);
+}
+
+bool MayEndInTime(double pace, const TaskRequirements& requirements) {
+  return DeadlineProbability(pace, requirements) >= kMinDeadlineProbability;
+}
+
+void Claim(Candidate& candidate) {
+  candidate.free = {};
+  candidate.claimed = true;
+}
+
 void Reserve(std::vector<Candidate>& candidates,
-             const TaskRequirements& requirements) {
+             const TaskRequirements& requirements, base::TimePoint now,
+             int tasks) {
   const double min_probability =
       MinProbability(BestProbability(candidates, requirements), 1);
+  std::vector<std::pair<base::Duration, Candidate*>> in_time;
   for (Candidate& candidate : candidates) {
-    if (candidate.free.cpu_milli <= 0) continue;
-    if (!IsAllowed(candidate, requirements)) continue;
+    if (candidate.claimed || !IsAllowed(candidate, requirements)) continue;
     const double pace = PaceFor(candidate, requirements);
-    if (DeadlineProbability(pace, requirements) >= min_probability)
-      candidate.free = {};
+    if (DeadlineProbability(pace, requirements) < min_probability) continue;
+    in_time.emplace_back(TimeToRoom(candidate, requirements, now), &candidate);
   }
+  const auto count = std::min(static_cast<std::ptrdiff_t>(tasks),
+                              static_cast<std::ptrdiff_t>(in_time.size()));
+  std::partial_sort(
+      in_time.begin(), in_time.begin() + count, in_time.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (auto item = in_time.begin(); item != in_time.begin() + count; ++item)
+    Claim(*item->second);
 }
 
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
@@ -204,8 +237,7 @@
 
 bool CanMeetDeadline(const std::vector<Candidate>& candidates,
                      const TaskRequirements& requirements) {
-  return DeadlineProbability(BestPace(candidates, requirements),
-                             requirements) >= kMinDeadlineProbability;
+  return MayEndInTime(BestPace(candidates, requirements), requirements);
 }
 
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -54,6 +54,7 @@
     candidate.pace = this->pool.Kinds().PaceOf(
         {session->Entry().service, &session->Entry().labels,
          session->Health().Pace(), session->Health().PaceRuns()});
+    candidate.next_free = session->NextFree();
     candidate.labels = &session->Entry().labels;
     candidate.incarnation_start_ms = session->Entry().incarnation_start_ms;
   }
@@ -77,6 +78,7 @@
       candidate.distance = distance;
       candidate.pace = this->pool.Kinds().PaceOf(
           {held.service, &held.labels, held.pace, held.pace_runs});
+      candidate.next_free = held.next_free;
       candidate.labels = &held.labels;
       candidate.incarnation_start_ms = held.incarnation_start_ms;
       // Under load, most endpoints have no free capacity, and the look-ups
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -248,11 +248,12 @@
       catalog.endpoints.size(), this->d->jobs.OpenJobs());
   const char* separator = "";
   for (const auto& [id, session] : this->d->pool.Sessions()) {
+    const auto next = session->NextFree();
     text += fmt::format(
-        R"({}{{"endpoint":"{}","open":{},"runs":{},"free_cpu":{},"pace":{:.2f},"lossy":{}}})",
+        R"({}{{"endpoint":"{}","open":{},"runs":{},"free_cpu":{},"pace":{:.2f},"lossy":{},"next_free_ms":{}}})",
         separator, id, session->IsOpen(), session->RunCount(),
-        session->Free().cpu_milli, session->Health().Pace(),
-        session->IsLossy());
+        session->Free().cpu_milli, session->Health().Pace(), session->IsLossy(),
+        next ? (*next - this->d->clock.Now()) / milliseconds(1) : -1);
     separator = ",";
   }
   text += R"(],"capacity":[)";
