Cluster: a weak process waits for stronger listed members at its start

Cause: after a loss of power all processes of a domain start at once. Weak VMs had heard nobody 0.25 s after they had read the members (their first heartbeats were still queued), took the role of a coordinator and claimed all endpoints of their domain. A process that would be an entry beside a member that the store lists for its domain waits for that member for up to 1 s. Strong processes do not wait, and take their role when the heartbeats have had time to arrive and not at the next tick, up to 0.2 s later.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -52,6 +52,8 @@
     /// Offset of its newest record in the store, and the time it was read.
     std::uint64_t record_offset = 0;
     base::TimePoint last_record_read;
+    /// Announcement in that record; it may be one of an earlier incarnation.
+    wire::MemberAnnounce listed;
     /// Time of the latest heartbeat to it, and the interval announced in it.
     base::TimePoint last_sent;
     base::Duration reported_interval{0};
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -29,12 +29,6 @@
 // Time after its start as a coordinator in which a process hears from the
 // coordinators of the other domains, which may have started with it.
 constexpr base::Duration kContactTime = seconds(1);
-// Time in which the members answer the first heartbeat of this process, and one
-// further heartbeat of each arrives.
-constexpr base::Duration kMembershipDiscoveryTime = milliseconds(250);
-// A process that cannot read the members in the store within this time relies
-// on the seeds and on the processes that discover it.
-constexpr base::Duration kMembersReadTimeout = milliseconds(1'500);
 // A longer interval between two ticks means that the process was paused.
 constexpr base::Duration kPauseThreshold = milliseconds(600);
 // Pause between two reads of the members topic.
@@ -107,12 +101,12 @@
              this->Send(address, std::move(envelope));
            }),
       seeds(std::move(seeds)),
+      discovery(this->board, parts.clock.Now()),
       tick_timer(parts.clock),
+      discovery_timer(parts.clock),
       announce_timer(parts.clock),
       presence_timer(parts.clock),
-      last_tick(parts.clock.Now()),
-      started(parts.clock.Now()),
-      membership_unknown_until(parts.clock.Now() + kMembershipDiscoveryTime) {
+      last_tick(parts.clock.Now()) {
   this->board.self = std::move(self);
   this->members_follower = std::make_unique<catalog::TopicFollower>(
       parts.store, parts.clock,
@@ -147,9 +141,7 @@
 }
 
 bool ClusterController::IsMembershipKnown() const {
-  const base::TimePoint now = this->parts.clock.Now();
-  if (now < this->membership_unknown_until) return false;
-  return this->members_read || now >= this->started + kMembersReadTimeout;
+  return this->discovery.IsKnown(this->parts.clock.Now());
 }
 
 std::uint64_t ClusterController::OwnSteadyMs() const {
@@ -193,14 +185,14 @@
 
 void ClusterController::ReceiveMembers(
     const std::vector<catalog::StoreRecord>& records) {
-  if (!this->members_read) {
-    this->members_read = true;
-    this->membership_unknown_until =
-        this->parts.clock.Now() + kMembershipDiscoveryTime;
+  if (!this->discovery.HasReadMembers()) {
+    this->discovery.OnMembersRead(this->parts.clock.Now());
     for (const catalog::StoreRecord& record : records) {
       this->AddMember(record.key);
     }
     this->sender.SendToAll();
+    this->discovery_timer.StartOnce(MembershipDiscovery::kHeartbeatTime,
+                                    [this] { this->CheckMembership(); });
   }
   for (const catalog::StoreRecord& record : records) {
     if (record.value.empty()) continue;
@@ -210,6 +202,9 @@
     if (record.offset <= member->second.record_offset) continue;
     member->second.record_offset = record.offset;
     member->second.last_record_read = this->parts.clock.Now();
+    if (!member->second.listed.ParseFromString(record.value)) {
+      member->second.listed.Clear();
+    }
   }
 }
 
@@ -227,22 +222,26 @@
   if (now - this->last_tick > kPauseThreshold) {
     kLog.Warning("Process was paused. ms={}",
                  (now - this->last_tick) / milliseconds(1));
-    this->membership_unknown_until = now + kMembershipDiscoveryTime;
+    this->discovery.AwaitHeartbeats(now);
     for (auto& [address, member] : this->board.members) {
       if (member.live) member.last_heard = now;
     }
   }
   this->last_tick = now;
-  if (!this->board.membership_known && this->IsMembershipKnown()) {
-    this->board.membership_known = true;
-    this->UpdateRoles();
-    if (this->members_listener) this->members_listener();
-  }
+  this->CheckMembership();
   this->FindLost();
   this->DropUnrelated();
   this->sender.Tick();
 }
 
+// Assigns a role to this process as soon as the membership is known.
+void ClusterController::CheckMembership() {
+  if (this->board.membership_known || !this->IsMembershipKnown()) return;
+  this->board.membership_known = true;
+  this->UpdateRoles();
+  if (this->members_listener) this->members_listener();
+}
+
 // Marks members that have been unrelated for kUnrelatedTimeout, which ends the
 // heartbeats to them. Members become unrelated because roles change when
 // processes join and leave.
@@ -293,9 +292,7 @@
 // Claims of an entry that has become a coordinator wait until the other
 // coordinators have told it what they hold. Until now they told it nothing.
 void ClusterController::AwaitHolders() {
-  this->membership_unknown_until =
-      std::max(this->membership_unknown_until,
-               this->parts.clock.Now() + kMembershipDiscoveryTime);
+  this->discovery.AwaitHeartbeats(this->parts.clock.Now());
 }
 
 void ClusterController::FindLost() {
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -8,6 +8,7 @@
 #include "cluster/catalog_sync.h"
 #include "cluster/cluster_board.h"
 #include "cluster/heartbeat_sender.h"
+#include "cluster/membership_discovery.h"
 
 namespace hawthornwheel::base {
 class Metrics;
@@ -105,6 +106,7 @@
 
  private:
   void OnTick();
+  void CheckMembership();
   void FillHeartbeat(wire::MemberHeartbeat& heartbeat) const;
   void UpdateRoles();
   void DropUnrelated();
@@ -129,13 +131,14 @@
   std::unique_ptr<catalog::TopicFollower> members_follower;
   std::function<void()> members_listener;
   std::function<void()> capacity_listener;
+  MembershipDiscovery discovery;
   base::Timer tick_timer;
+  /// Fires when the heartbeats after the first read of the members have had
+  /// time to arrive, which is sooner than the next tick.
+  base::Timer discovery_timer;
   base::Timer announce_timer;
   base::Timer presence_timer;
   base::TimePoint last_tick;
-  base::TimePoint started;
-  base::TimePoint membership_unknown_until;
-  bool members_read = false;
   /// Whether a role was assigned after the membership had become known.
   bool role_assigned = false;
   base::TimePoint role_assigned_at;
--- a/src/libs/cluster/roles.cc
+++ b/src/libs/cluster/roles.cc
@@ -41,6 +41,10 @@
 
 }  // namespace
 
+bool IsEntryBeside(std::uint32_t weight, std::uint32_t other) {
+  return weight * kCoordinatorFraction < other;
+}
+
 bool RefreshRoles(ClusterBoard& board) {
   std::map<std::string, std::uint32_t> max_weights;
   const auto add_weight = [&max_weights](const wire::MemberAnnounce& announce) {
@@ -51,11 +55,10 @@
   for (const auto& [address, member] : board.members) {
     if (IsCandidate(member)) add_weight(member.announce);
   }
-  const auto coordinates =
-      [&max_weights](const wire::MemberAnnounce& announce) {
-        return announce.weight() * kCoordinatorFraction >=
-               max_weights[announce.domain()];
-      };
+  const auto coordinates = [&max_weights](
+                               const wire::MemberAnnounce& announce) {
+    return !IsEntryBeside(announce.weight(), max_weights[announce.domain()]);
+  };
   bool changed = false;
   const auto update = [&changed](bool& role, bool value) {
     changed = changed || role != value;
--- a/src/libs/cluster/roles.h
+++ b/src/libs/cluster/roles.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 namespace hawthornwheel::cluster {
 
 struct ClusterBoard;
@@ -13,4 +15,8 @@
 /// updates `coordinators` of the board.
 bool RefreshRoles(ClusterBoard& board);
 
+/// Returns whether a process of weight `weight` is an entry while a process of
+/// its domain with weight `other` is live.
+bool IsEntryBeside(std::uint32_t weight, std::uint32_t other);
+
 }  // namespace hawthornwheel::cluster
