--- a/src/libs/jobs/candidate.h
+++ b/src/libs/jobs/candidate.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/clock.h"
 #include "catalog/resources.h"
 
 namespace hawthornwheel::jobs {
@@ -28,8 +30,15 @@
   /// Cost that differs between processes, so that processes that see the same
   /// free capacity do not all request the same endpoint.
   double jitter_cost = 0;
+  /// Value of the capacity of its kind, 0 to 1; see CapacityValue.
+  double capacity_value = 1;
   /// Ratio of the learned run time to the declared one; above 1 is slower.
   double pace = 1;
+  /// Time at which the next run there is expected to end; empty if unknown or
+  /// when nothing runs there.
+  std::optional<base::TimePoint> next_free;
+  /// Whether a waiting task of this pass counts on the endpoint's next place.
+  bool claimed = false;
   /// Labels of the endpoint; null for none.
   const std::vector<std::string>* labels = nullptr;
   /// Start of the incarnation that has these labels and this capacity, in Unix
--- a/src/libs/jobs/endpoint_choice.h
+++ b/src/libs/jobs/endpoint_choice.h
@@ -52,14 +52,44 @@
 /// likely to. The score is the expected value of the answer, which follows
 /// from the probabilities of meeting the deadline and the objective there, less
 /// the costs of a fast endpoint, a distant holder, jitter and leftover CPU. As
-/// a result, long tasks go to fast endpoints, and short tasks leave those free.
+/// a result, long tasks go to fast endpoints, and short tasks leave those free
+/// as far as they are scarce (Candidate::capacity_value).
 Candidate* ChooseEndpoint(std::vector<Candidate>& candidates,
                           const TaskRequirements& requirements);
 
-/// Withdraws the free capacity of the endpoints that the task would use if they
-/// had enough, so that tasks of later jobs leave it to this one.
+/// Returns the best endpoint as ChooseEndpoint() does, but also when one
+/// without free capacity is much more likely to run the task in time.
+Candidate* ChooseFreeEndpoint(std::vector<Candidate>& candidates,
+                              const TaskRequirements& requirements);
+
+/// Returns whether a task may meet its deadline at an endpoint of pace `pace`.
+/// Below this chance, a placement would be only nominal.
+bool MayEndInTime(double pace, const TaskRequirements& requirements);
+
+/// Returns whether the endpoint has the label.
+bool HasLabel(const Candidate& candidate, const std::string& label);
+
+/// Returns whether the task may run at the endpoint, whatever its free
+/// capacity.
+bool IsAllowed(const Candidate& candidate,
+               const TaskRequirements& requirements);
+
+/// Returns whether the endpoint has enough free capacity for the task. Tasks
+/// that need no resources are not started at endpoints without free CPU either:
+/// their capacity may be unknown or reserved.
+bool HasRoom(const Candidate& candidate, const TaskRequirements& requirements);
+
+/// Claims the endpoint for a waiting task: withdraws its free capacity and its
+/// next place from the tasks of later jobs.
+void Claim(Candidate& candidate);
+
+/// Claims one endpoint for each of `tasks` waiting tasks: among those that are
+/// likely to run the task in time, the one that is expected to have enough free
+/// capacity first. Otherwise a task that needs much capacity would never find
+/// an endpoint that has enough.
 void Reserve(std::vector<Candidate>& candidates,
-             const TaskRequirements& requirements);
+             const TaskRequirements& requirements, base::TimePoint now,
+             int tasks = 1);
 
 /// Counts the tasks of one kind for which the candidates have free capacity.
 struct FreeRoom {
@@ -73,10 +103,6 @@
 FreeRoom CountFreeRoom(const std::vector<Candidate>& candidates,
                        const TaskRequirements& requirements);
 
-/// Returns whether a run that needs `remaining` more time by its progress is
-/// likely to end within `left`.
-bool CanEndInTime(base::Duration remaining, base::Duration left);
-
 /// Returns whether the fastest endpoint for the task would be likely to run it
 /// in time if it had free capacity.
 bool CanMeetDeadline(const std::vector<Candidate>& candidates,
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -51,7 +51,10 @@
     candidate.endpoint = id;
     candidate.service = session->Entry().service;
     candidate.free = session->Free();
-    candidate.pace = session->Health().Pace();
+    candidate.pace = this->pool.Kinds().PaceOf(
+        {session->Entry().service, &session->Entry().labels,
+         session->Health().Pace(), session->Health().PaceRuns()});
+    candidate.next_free = session->NextFree();
     candidate.labels = &session->Entry().labels;
     candidate.incarnation_start_ms = session->Entry().incarnation_start_ms;
   }
@@ -73,7 +76,9 @@
       candidate.service = held.service;
       candidate.holder = address;
       candidate.distance = distance;
-      candidate.pace = held.pace;
+      candidate.pace = this->pool.Kinds().PaceOf(
+          {held.service, &held.labels, held.pace, held.pace_runs});
+      candidate.next_free = held.next_free;
       candidate.labels = &held.labels;
       candidate.incarnation_start_ms = held.incarnation_start_ms;
       // Under load, most endpoints have no free capacity, and the look-ups
@@ -161,4 +166,13 @@
   this->cluster.SetTasksWaiting(waiting);
 }
 
+bool FleetPlacer::TasksWait() const {
+  const cluster::ClusterBoard& board = this->cluster.Board();
+  return board.tasks_waiting ||
+         std::any_of(board.members.begin(), board.members.end(),
+                     [](const auto& item) {
+                       return item.second.live && item.second.last.wanting();
+                     });
+}
+
 }  // namespace hawthornwheel::jobs
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "base/logger.h"
 #include "base/metrics.h"
 #include "catalog/catalog_controller.h"
+#include "jobs/job_end_log.h"
+#include "jobs/overdue_policy.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -17,24 +20,10 @@
 
 constexpr base::Logger kLog("job");
 
-// Share of its latency objective for which a job waits for a free endpoint
-// before it is rejected. The caller can then still submit it elsewhere; after a
-// longer wait, the job would miss the objective anyway.
-constexpr double kMaxWaitShare = 0.22;
-// Declared run times are rough. The wait is a share of the objective that
-// follows from a low estimate, one standard deviation below the declared one:
-// the caller of a job that is shorter than declared must not wait longer than
-// its objective allows.
-constexpr double kLowEstimateFactor = 0.64;
 // Time for which answers are kept, since copies of a job may arrive seconds
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
 constexpr base::Duration kExpiryInterval = seconds(1);
-// Time to stop a run and to start the task at another endpoint.
-constexpr base::Duration kMoveTime = milliseconds(70);
-// A task that is projected to take more than this many times its nominal run
-// time is stuck. The projection is then not used as its run time.
-constexpr int kStuckRunTimeFactor = 8;
 // Retry time for jobs of routes that require a placement hint. These are not
 // supported yet; an update may change that.
 constexpr base::Duration kUnsupportedRetry = seconds(60);
@@ -54,53 +43,18 @@
       static_cast<double>(span.count()) * factor));
 }
 
-// Returns whether the waiting tasks of `a` are placed before those of `b`. Jobs
-// that have started come first, since a job is answered only after its last
-// task; then jobs of more urgent routes, then those that must start soonest.
-bool IsPlacedBefore(const Job& a, const Job& b) {
-  if (a.MayHaveRun() != b.MayHaveRun()) return a.MayHaveRun();
-  if (a.route.priority != b.route.priority) {
-    return a.route.priority < b.route.priority;
-  }
-  return a.latest_start < b.latest_start;
-}
-
 bool HasFreeCapacity(const std::vector<Candidate>& candidates) {
   return std::any_of(
       candidates.begin(), candidates.end(),
       [](const Candidate& candidate) { return candidate.free.cpu_milli > 0; });
 }
 
-// Chooses an endpoint for a task, without those in `refused`.
-Candidate* ChooseFor(const Job::Task& task,
-                     const std::set<std::string>& refused,
-                     std::vector<Candidate>& candidates,
-                     TaskRequirements requirements) {
-  std::set<std::string> avoid = task.avoid;
-  avoid.insert(refused.begin(), refused.end());
-  requirements.avoid = &avoid;
-  Candidate* candidate = ChooseEndpoint(candidates, requirements);
-  if (candidate == nullptr && task.failed_runs > 0) {
-    // An endpoint where the task failed before is better than none.
-    requirements.avoid = &refused;
-    candidate = ChooseEndpoint(candidates, requirements);
-  }
-  return candidate;
-}
-
 // Returns whether a placement ended without a run that is known.
 bool IsWithoutRun(RunOutcome outcome) {
   return outcome == RunOutcome::kNotRun || outcome == RunOutcome::kStaleRun ||
          outcome == RunOutcome::kUnconfirmed;
 }
 
-// Returns the time from the arrival of a job to `event` in milliseconds, or -1
-// if it has not happened.
-std::int64_t AgeAt(const Job& job,
-                   const std::optional<base::TimePoint>& event) {
-  return event ? (*event - job.arrival) / milliseconds(1) : -1;
-}
-
 }  // namespace
 
 JobCoordinator::JobCoordinator(base::Clock& clock, base::Metrics& metrics,
@@ -111,8 +65,10 @@
       catalog(catalog),
       placer(placer),
       settings(settings),
+      wait(metrics),
       placement_timer(clock),
       retry_timer(clock),
+      wait_timer(clock),
       expiry_timer(clock) {
   this->expiry_timer.StartPeriodic(kExpiryInterval,
                                    [this] { this->DropExpiredAnswers(); });
@@ -203,31 +159,13 @@
   job->nominal_run_time = job->request.estimate;
   job->timer = std::make_unique<base::Timer>(this->clock);
   job->callers.push_back(std::move(caller));
-  this->SetTimes(*job);
+  job->SetTimes(this->clock.Now());
   this->metrics.Count("jobs.submitted");
   this->jobs[job->request.id] = job;
   this->ArmTimer(*job);
   this->SchedulePlacement();
 }
 
-void JobCoordinator::SetTimes(Job& job) const {
-  job.arrival = this->clock.Now();
-  const base::Duration objective =
-      Scale(job.request.estimate, job.route.objective_stretch) +
-      job.route.objective_slack;
-  job.objective_end = job.arrival + objective;
-  const base::Duration low_objective =
-      Scale(job.request.estimate,
-            job.route.objective_stretch * kLowEstimateFactor) +
-      job.route.objective_slack;
-  job.latest_start = job.arrival + Scale(low_objective, kMaxWaitShare);
-  base::Duration timeout = job.route.timeout;
-  if (job.request.caller_timeout > base::Duration{0}) {
-    timeout = std::min(timeout, job.request.caller_timeout);
-  }
-  job.deadline = job.arrival + timeout;
-}
-
 void JobCoordinator::SchedulePlacement() {
   if (this->placement_timer.IsActive()) return;
   this->placement_timer.StartOnce(base::Duration{0},
@@ -245,9 +183,10 @@
   }
   std::sort(waiting_jobs.begin(), waiting_jobs.end(),
             [](const JobPointer& a, const JobPointer& b) {
-              return IsPlacedBefore(*a, *b);
+              return a->IsPlacedBefore(*b);
             });
-  std::vector<Candidate> candidates = this->placer.Candidates();
+  std::vector<Candidate> candidates = this->ValuedCandidates();
+  this->wait.BeginPass(this->clock.Now());
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
     if (!job->IsAwaited()) {
@@ -257,6 +196,10 @@
     }
     const Placement placement = this->PlaceTasks(*job, candidates);
     if (placement == Placement::kComplete) continue;
+    if (placement == Placement::kWaits) {
+      tasks_waiting = true;
+      continue;
+    }
     if (placement == Placement::kRefused) {
       // The endpoints may accept other tasks, so none is reserved.
       tasks_waiting = true;
@@ -273,13 +216,18 @@
                    "cannot meet the deadline");
       continue;
     }
-    // Later jobs leave these endpoints to this one; otherwise a large task
-    // would never find an endpoint with enough free capacity.
+    // Later jobs leave one endpoint to each waiting task of this one; otherwise
+    // a large task would never find an endpoint with enough free capacity.
     tasks_waiting = true;
-    Reserve(candidates, this->RequirementsOf(*job));
+    Reserve(candidates, this->RequirementsOf(*job), this->clock.Now(),
+            job->tasks_without_endpoint);
     if (!HasFreeCapacity(candidates)) break;
   }
   this->placer.SetTasksWaiting(tasks_waiting);
+  const auto next_end = this->wait.NextEnd();
+  if (!next_end) return;
+  this->wait_timer.StartOnce(*next_end - this->clock.Now(),
+                             [this] { this->PlaceWaitingTasks(); });
 }
 
 void JobCoordinator::RetryPlacement() {
@@ -287,6 +235,29 @@
                               [this] { this->SchedulePlacement(); });
 }
 
+// Returns the candidates with the value of their capacity.
+std::vector<Candidate> JobCoordinator::ValuedCandidates() const {
+  std::vector<Candidate> candidates = this->placer.Candidates();
+  CapacityValue(candidates, this->SizesInFlight(), this->placer.TasksWait())
+      .SetIn(candidates);
+  return candidates;
+}
+
+std::vector<CapacityValue::Kind> JobCoordinator::CapacityByKind() const {
+  return CapacityValue(this->placer.Candidates(), this->SizesInFlight(),
+                       this->placer.TasksWait())
+      .Kinds();
+}
+
+TaskSizes JobCoordinator::SizesInFlight() const {
+  TaskSizes sizes;
+  for (const auto& [id, job] : this->jobs) {
+    sizes.Add(job->route.service, job->request.resources,
+              job->request.task_count);
+  }
+  return sizes;
+}
+
 TaskRequirements JobCoordinator::RequirementsOf(const Job& job) const {
   const base::TimePoint now = this->clock.Now();
   TaskRequirements requirements;
@@ -296,9 +267,15 @@
   requirements.far_factor = this->settings.far_factor;
   requirements.resources = job.request.resources;
   requirements.job_task_count = job.request.task_count;
-  requirements.estimate = job.nominal_run_time;
-  requirements.estimate_log_std_dev =
-      job.nominal_run_time_measured ? kMeasuredLogStdDev : kDeclaredLogStdDev;
+  if (job.nominal_run_time_measured) {
+    requirements.estimate = job.nominal_run_time;
+    requirements.estimate_log_std_dev = kMeasuredLogStdDev;
+  } else {
+    const auto expected =
+        this->run_times.Expect(job.route.name, job.nominal_run_time);
+    requirements.estimate = expected.run_time;
+    requirements.estimate_log_std_dev = expected.log_std_dev;
+  }
   const auto nominal_run_time_us =
       std::max<double>(static_cast<double>(job.nominal_run_time.count()), 1);
   requirements.objective_pace =
@@ -308,6 +285,16 @@
   return requirements;
 }
 
+// Records the real or projected run time of a task, once.
+void JobCoordinator::RecordRunTime(const Job& job, Job::Task& task,
+                                   base::Duration run_time) {
+  if (std::exchange(task.run_time_recorded, true)) return;
+  const double error = this->run_times.Record(
+      job.route.name, job.request.estimate, Scale(run_time, 1 / task.pace),
+      job.request.task_count);
+  this->metrics.Observe("jobs.run_time_error", std::abs(error));
+}
+
 JobCoordinator::Placement JobCoordinator::PlaceTasks(
     Job& job, std::vector<Candidate>& candidates) {
   const TaskRequirements requirements = this->RequirementsOf(job);
@@ -318,19 +305,51 @@
     if (this->HasEndingRun(job, index)) continue;
     std::set<std::string> refused;
     bool placed = false;
+    bool waits = false;
     while (!placed) {
-      Candidate* candidate = ChooseFor(task, refused, candidates, requirements);
-      if (candidate == nullptr) break;
-      placed = this->PlaceTask(job, index, *candidate, requirements);
-      if (!placed) refused.insert(std::string(candidate->endpoint));
+      const PlacementWait::Decision decision =
+          this->ChooseFor(job, task, refused, candidates, requirements);
+      waits = decision.waits;
+      if (decision.endpoint == nullptr) break;
+      placed = this->PlaceTask(job, index, *decision.endpoint, requirements);
+      if (!placed) refused.insert(std::string(decision.endpoint->endpoint));
     }
     if (placed) continue;
-    if (refused.empty()) return Placement::kNoEndpoint;
+    if (waits) {
+      if (result == Placement::kComplete) result = Placement::kWaits;
+      continue;
+    }
+    if (refused.empty()) {
+      job.tasks_without_endpoint = static_cast<int>(
+          std::count_if(job.tasks.begin() + static_cast<std::ptrdiff_t>(index),
+                        job.tasks.end(), [](const Job::Task& other) {
+                          return other.state == Job::TaskState::kWaiting;
+                        }));
+      return Placement::kNoEndpoint;
+    }
     result = Placement::kRefused;
   }
   return result;
 }
 
+// Chooses an endpoint for a task, without those in `refused`, or decides that
+// it waits for a better one.
+PlacementWait::Decision JobCoordinator::ChooseFor(
+    const Job& job, Job::Task& task, const std::set<std::string>& refused,
+    std::vector<Candidate>& candidates, TaskRequirements requirements) {
+  std::set<std::string> avoid = task.avoid;
+  avoid.insert(refused.begin(), refused.end());
+  requirements.avoid = &avoid;
+  Candidate* candidate = ChooseEndpoint(candidates, requirements);
+  if (candidate == nullptr && task.failed_runs > 0) {
+    // An endpoint where the task failed before is better than none.
+    requirements.avoid = &refused;
+    candidate = ChooseEndpoint(candidates, requirements);
+  }
+  return this->wait.Decide(candidate, candidates, requirements,
+                           job.LatestPlacement(), task.wait);
+}
+
 bool JobCoordinator::PlaceTask(Job& job, std::size_t index,
                                Candidate& candidate,
                                const TaskRequirements& requirements) {
@@ -344,10 +363,13 @@
   order.payload = job.request.payload;
   order.resources = job.request.resources;
   // The estimate includes the factor for the distance to the data, so that the
-  // pace learned for the endpoint does not.
+  // pace learned for the endpoint does not. It is based on the declared run
+  // time rather than on the expected one, which depends on learned paces: the
+  // two would change each other.
   order.estimate = Scale(job.nominal_run_time, pace / candidate.pace);
   order.time_left = requirements.deadline;
   task.pace = pace;
+  task.projection = {};
   task.moving = false;
   const bool placed = this->placer.Place(
       candidate, order, this->HandlersFor(job, index, order.endpoint),
@@ -356,7 +378,10 @@
     --task.run;
     return false;
   }
+  this->wait.RecordPlacement(job.request.id, index, candidate, requirements,
+                             task.wait);
   candidate.free -= order.resources;
+  this->metrics.Observe("jobs.capacity_value", candidate.capacity_value);
   task.state = Job::TaskState::kPlaced;
   --job.waiting_tasks;
   task.placed_at = this->clock.Now();
@@ -413,6 +438,7 @@
     job.has_run = true;
   }
   if (outcome == RunOutcome::kDone) {
+    this->RecordRunTime(job, task, this->clock.Now() - task.placed_at);
     task.state = Job::TaskState::kDone;
     ++job.done_tasks;
     if (job.done_tasks == job.request.task_count) {
@@ -450,32 +476,34 @@
   if (task.state != Job::TaskState::kPlaced || task.run != run || task.moving) {
     return;
   }
-  const base::Duration nominal_run_time = Scale(expected, 1 / task.pace);
-  const bool stuck =
-      nominal_run_time > kStuckRunTimeFactor * job.nominal_run_time;
-  TaskRequirements requirements = this->RequirementsOf(job);
-  if (!stuck) {
-    requirements.estimate = nominal_run_time;
-    requirements.estimate_log_std_dev = kMeasuredLogStdDev;
-  }
-  requirements.deadline -= kMoveTime;
   const base::TimePoint now = this->clock.Now();
-  const OverdueAction action = this->ActionFor(
-      task, requirements,
-      CanEndInTime(task.placed_at + expected - now, job.deadline - now));
+  task.projection.Add(now - task.placed_at, expected);
+  const OverdueRun overdue{task.placed_run.endpoint, expected, task.pace,
+                           task.projection.ChanceToEndIn(job.deadline - now)};
+  TaskRequirements requirements = this->RequirementsOf(job);
+  requirements.avoid = &task.avoid;
+  const OverdueDecision decision =
+      OverduePolicy(this->ValuedCandidates()).Decide(overdue, requirements);
   kLog.Info(
       "Task is overdue. job={} task={} run={} endpoint={} pace={:.2f} "
-      "expected_ms={} left_ms={} action={}",
-      id, index, run, task.placed_run.endpoint, task.pace,
-      expected / milliseconds(1), (job.deadline - now) / milliseconds(1),
-      NameOf(action));
-  if (action == OverdueAction::kContinue) return;
-  if (action == OverdueAction::kEndJob) {
+      "expected_ms={} left_ms={} chance={:.3f} min_chance={:.3f} value={:.2f} "
+      "action={}",
+      id, index, run, overdue.endpoint, task.pace, expected / milliseconds(1),
+      (job.deadline - now) / milliseconds(1), overdue.chance,
+      decision.min_chance, decision.value, NameOf(decision.action));
+  // Most overdue runs are stopped before their end. Without their projected
+  // run times, the route would seem to have no long runs.
+  if (decision.nominal_run_time) this->RecordRunTime(job, task, expected);
+  if (OverduePolicy::IsSpared(overdue, decision))
+    this->metrics.Count("jobs.overdue_runs_spared");
+  if (decision.action == OverdueAction::kContinue) return;
+  if (decision.action == OverdueAction::kEndJob) {
+    this->metrics.Count("jobs.overdue_runs_ended");
     this->Finish(id, JobEnd::kInterrupted, "cannot meet the deadline");
     return;
   }
-  if (!stuck) {
-    job.nominal_run_time = nominal_run_time;
+  if (decision.nominal_run_time) {
+    job.nominal_run_time = *decision.nominal_run_time;
     job.nominal_run_time_measured = true;
   }
   task.moving = true;
@@ -484,28 +512,6 @@
   this->placer.Stop(task.placed_run);
 }
 
-// Decides about an overdue run. `requirements` are those of a new run of the
-// task at another endpoint; `may_end_here` tells whether the run may still end
-// in time.
-OverdueAction JobCoordinator::ActionFor(const Job::Task& task,
-                                        TaskRequirements requirements,
-                                        bool may_end_here) const {
-  std::set<std::string> avoid = task.avoid;
-  avoid.insert(task.placed_run.endpoint);
-  requirements.avoid = &avoid;
-  std::vector<Candidate> candidates = this->placer.Candidates();
-  const Candidate* better = ChooseEndpoint(candidates, requirements);
-  if (better != nullptr &&
-      Scale(requirements.estimate, PaceFor(*better, requirements)) <
-          requirements.deadline) {
-    return OverdueAction::kMove;
-  }
-  if (may_end_here) return OverdueAction::kContinue;
-  return CanMeetDeadline(candidates, requirements)
-             ? OverdueAction::kWaitForEndpoint
-             : OverdueAction::kEndJob;
-}
-
 void JobCoordinator::ArmTimer(Job& job) {
   const base::TimePoint due = job.MayHaveRun()
                                   ? job.deadline
@@ -610,43 +616,25 @@
          ending->second.open.contains(index);
 }
 
-// Logs the end of a job with its size and the times of its placements. A job
-// that ends early is logged with the free capacity and the queue at that
-// moment.
 void JobCoordinator::LogEnd(const Job& job, JobEnd end, const char* cause,
                             base::Duration retry_after) const {
   const base::TimePoint now = this->clock.Now();
-  const std::string size = fmt::format(
-      "tasks={} estimate_ms={} cpu_milli={} wait_limit_ms={} "
-      "first_placed_ms={} last_placed_ms={} refused={} unconfirmed={}",
-      job.request.task_count, job.request.estimate / milliseconds(1),
-      job.request.resources.cpu_milli, AgeAt(job, job.latest_start),
-      AgeAt(job, job.first_placed), AgeAt(job, job.last_placed),
-      job.refused_placements, job.has_unconfirmed_run);
-  const auto age_ms = (now - job.arrival) / milliseconds(1);
   if (end == JobEnd::kComplete) {
-    kLog.Info("Job ended. job={} route={} end={} age_ms={} late={} {}",
-              job.request.id, job.route.name, NameOf(end), age_ms,
-              now > job.objective_end, size);
+    LogComplete(job, now);
     return;
   }
-  const FreeRoom room =
-      CountFreeRoom(this->placer.Candidates(), this->RequirementsOf(job));
-  kLog.Info(
-      "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
-      "done={} waiting={} slowest_pace={:.2f} room={} room_in_time={} "
-      "ahead={} left_ms={} retry_after_ms={}",
-      job.request.id, job.route.name, job.config_version, NameOf(end), cause,
-      age_ms, size, job.done_tasks, job.waiting_tasks, job.SlowestPace(),
-      room.tasks, room.tasks_in_time, this->TasksAheadOf(job),
-      (job.deadline - now) / milliseconds(1), retry_after / milliseconds(1));
+  const TaskRequirements requirements = this->RequirementsOf(job);
+  LogEarlyEnd(job, end, now,
+              {cause, retry_after, requirements.estimate,
+               CountFreeRoom(this->ValuedCandidates(), requirements),
+               this->TasksAheadOf(job)});
 }
 
 // Returns the number of tasks that wait before those of `job`.
 int JobCoordinator::TasksAheadOf(const Job& job) const {
   int tasks = 0;
   for (const auto& [id, other] : this->jobs) {
-    if (other->waiting_tasks > 0 && IsPlacedBefore(*other, job))
+    if (other->waiting_tasks > 0 && other->IsPlacedBefore(job))
       tasks += other->waiting_tasks;
   }
   return tasks;
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -4,16 +4,19 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/timer.h"
+#include "jobs/capacity_value.h"
 #include "jobs/endpoint_choice.h"
 #include "jobs/job.h"
 #include "jobs/job_gateway.h"
 #include "jobs/job_settings.h"
-#include "jobs/overdue_action.h"
+#include "jobs/placement_wait.h"
 #include "jobs/retry_advisor.h"
+#include "jobs/run_time_model.h"
 
 namespace hawthornwheel::base {
 class Metrics;
@@ -69,6 +72,11 @@
   /// more capacity may be free.
   void SchedulePlacement();
 
+  /// Returns what was learned about the run times of each route.
+  const RunTimeModel& RunTimes() const { return this->run_times; }
+  /// Returns the value of the capacity that is known at present, by kind.
+  std::vector<CapacityValue::Kind> CapacityByKind() const;
+
   /// Returns the number of jobs in flight.
   std::size_t OpenJobs() const { return this->jobs.size(); }
 
@@ -87,6 +95,8 @@
     kComplete,
     /// No endpoint has enough free capacity for a task.
     kNoEndpoint,
+    /// Tasks wait for a better endpoint than those that are free.
+    kWaits,
     /// Endpoints have refused a task, for example since a copy of it is open
     /// there.
     kRefused,
@@ -103,8 +113,11 @@
   bool JoinOrReject(const std::string& id, Job::Caller& caller);
   void Begin(JobRequest request, const catalog::Route& route,
              std::uint64_t version, Job::Caller caller);
-  void SetTimes(Job& job) const;
   Placement PlaceTasks(Job& job, std::vector<Candidate>& candidates);
+  PlacementWait::Decision ChooseFor(const Job& job, Job::Task& task,
+                                    const std::set<std::string>& refused,
+                                    std::vector<Candidate>& candidates,
+                                    TaskRequirements requirements);
   void RetryPlacement();
   bool PlaceTask(Job& job, std::size_t index, Candidate& candidate,
                  const TaskRequirements& requirements);
@@ -114,9 +127,10 @@
                 runs::RunOutcome outcome, const std::string& endpoint);
   void OnOverdue(Job& job, std::size_t index, std::uint64_t run,
                  base::Duration expected);
-  OverdueAction ActionFor(const Job::Task& task, TaskRequirements requirements,
-                          bool may_end_here) const;
+  std::vector<Candidate> ValuedCandidates() const;
+  TaskSizes SizesInFlight() const;
   TaskRequirements RequirementsOf(const Job& job) const;
+  void RecordRunTime(const Job& job, Job::Task& task, base::Duration run_time);
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
   void Finish(const std::string& id, JobEnd end, const char* cause);
@@ -134,6 +148,8 @@
   Placer& placer;
   const JobSettings& settings;
   RetryAdvisor advisor;
+  RunTimeModel run_times;
+  PlacementWait wait;
   std::map<std::string, JobPointer> jobs;
   /// Answers of jobs that were completed or failed in the last seconds, for
   /// callers that submit a job again.
@@ -146,6 +162,9 @@
   base::Timer placement_timer;
   /// Repeats the placement while the caller of a job is not known to wait.
   base::Timer retry_timer;
+  /// Repeats the placement when a task has waited for a better endpoint for
+  /// long enough.
+  base::Timer wait_timer;
   base::Timer expiry_timer;
 };
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -248,13 +248,25 @@
       catalog.endpoints.size(), this->d->jobs.OpenJobs());
   const char* separator = "";
   for (const auto& [id, session] : this->d->pool.Sessions()) {
+    const auto next = session->NextFree();
     text += fmt::format(
-        R"({}{{"endpoint":"{}","open":{},"runs":{},"free_cpu":{},"pace":{:.2f}}})",
+        R"({}{{"endpoint":"{}","open":{},"runs":{},"free_cpu":{},"pace":{:.2f},"lossy":{},"next_free_ms":{}}})",
         separator, id, session->IsOpen(), session->RunCount(),
-        session->Free().cpu_milli, session->Health().Pace());
+        session->Free().cpu_milli, session->Health().Pace(), session->IsLossy(),
+        next ? (*next - this->d->clock.Now()) / milliseconds(1) : -1);
     separator = ",";
   }
-  text += "]}";
+  text += R"(],"capacity":[)";
+  separator = "";
+  for (const auto& kind : this->d->jobs.CapacityByKind()) {
+    text += fmt::format(
+        R"({}{{"service":"{}","kind":"{}","endpoints":{},"free_share":{:.2f},"value":{:.2f}}})",
+        separator, kind.service, kind.kind, kind.endpoints, kind.free_share,
+        kind.value);
+    separator = ",";
+  }
+  text += R"(],"kinds":)" + this->d->pool.Kinds().Dump() + R"(,"routes":)" +
+          this->d->jobs.RunTimes().Dump() + "}";
   return text;
 }
 
--- a/src/libs/runs/endpoint_run.h
+++ b/src/libs/runs/endpoint_run.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "base/timer.h"
 #include "runs/run_progress.h"
+#include "runs/settled_runs.h"
 #include "runs/task_order.h"
 
 namespace hawthornwheel::runs {
@@ -21,9 +25,19 @@
     kStopping,
   };
 
+  /// Outcome of a run whose end was not reported.
+  struct Settlement {
+    RunOutcome outcome;
+    SettlementEvidence evidence;
+  };
+
   /// Returns whether the run's progress is read more often.
   bool IsWatched(base::TimePoint now) const;
 
+  /// Records that the endpoint has accepted the start. Its incarnation is 0
+  /// when the answer names none.
+  void OnAccepted(std::int64_t reported_start_ms);
+
   /// Records that a list of runs shows the run, made by the endpoint's
   /// incarnation of this start in Unix milliseconds.
   void OnListed(std::int64_t listed_start_ms);
@@ -32,10 +46,22 @@
   /// `list_fence`; nothing if the list does not settle the run.
   std::optional<RunOutcome> OutcomeIfAbsent(std::uint64_t list_fence) const;
 
+  /// Returns how a run ended that is absent from a list under `list_fence`,
+  /// made at `list_clock_ms`; nothing if the list does not settle it.
+  std::optional<Settlement> SettlementIfAbsent(std::uint64_t list_fence,
+                                               std::int64_t list_clock_ms,
+                                               base::Duration stop_time) const;
+
   /// Returns whether a run that is absent from a list must have stopped.
   /// `list_clock_ms` is the endpoint's clock in milliseconds at the list.
   bool HasStoppedBy(std::int64_t list_clock_ms, base::Duration stop_time) const;
 
+  /// Returns the time at which the run is expected to end at an endpoint of
+  /// pace `pace`: by its progress, or by its declared run time. An end that has
+  /// not come when it was expected lies ahead by a share of the run's age.
+  base::TimePoint ExpectedEnd(base::TimePoint now, double pace,
+                              base::Duration stop_time) const;
+
   /// Records that the endpoint has restarted. Returns whether the run is lost;
   /// otherwise, either incarnation may have carried out its start.
   bool OnRestart();
@@ -54,6 +80,8 @@
   /// Time after which its result is of no use to the caller.
   base::TimePoint deadline;
   RunProgress progress{{}};
+  /// Total run time that the latest progress leads to; empty before a reading.
+  std::optional<base::Duration> projected;
   bool overdue = false;
   bool start_answered = false;
   /// Start of the endpoint's incarnation that has the run, in Unix
@@ -67,4 +95,11 @@
   std::unique_ptr<base::Timer> timer;
 };
 
+/// Returns the time at which the next of `runs` is expected to end at an
+/// endpoint of pace `pace`, by task and run number. Nothing when there is none,
+/// or when one was started by another process, so that its run time is unknown.
+std::optional<base::TimePoint> NextEnd(
+    const std::map<std::pair<std::string, std::uint64_t>, EndpointRun>& runs,
+    base::TimePoint now, double pace, base::Duration stop_time);
+
 }  // namespace hawthornwheel::runs
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -59,6 +59,11 @@
   void Add(const catalog::EndpointEntry& entry, double pace = 1,
            double clock_rate = 1);
 
+  /// Sets the factor on the run times of all runs that start from now on.
+  void SetPace(const std::string& id, double pace) {
+    this->endpoints.at(id).pace = pace;
+  }
+
   /// Restarts an endpoint: it loses its runs, its lease and its fencing token,
   /// and gets a new incarnation.
   void Restart(const std::string& id);
@@ -100,6 +105,11 @@
   void SetTask(const std::string& payload, base::Duration time,
                runs::RunEndKind kind);
 
+  /// Makes runs of tasks with this payload take `far_factor` times as long at
+  /// endpoints without the label.
+  void SetNear(const std::string& payload, const std::string& label,
+               double far_factor);
+
   void Start(const std::string& process_domain, const runs::StartOrder& order,
              ProcessClock& process_clock,
              std::function<void(const runs::OrderReply&)> done);
@@ -213,6 +223,8 @@
   struct TaskPlan {
     base::Duration time{0};
     runs::RunEndKind kind = runs::RunEndKind::kDone;
+    std::string near_label;
+    double far_factor = 1;
   };
 
   /// Delivers an order: runs `handle` with its endpoint, unless the endpoint is
