--- a/src/libs/jobs/endpoint_choice.cc
+++ b/src/libs/jobs/endpoint_choice.cc
@@ -1,6 +1,7 @@
 #include "jobs/endpoint_choice.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <cstddef>
 #include <optional>
@@ -41,6 +42,10 @@
 constexpr double kMinShareOfBestProbability = 0.3;
 constexpr double kMinShareWhenFree = 0.2;
 
+// Time until there is enough room at an endpoint where no end of a run is
+// known. Such endpoints are reserved after all others.
+constexpr base::Duration kUnknownTimeToRoom = std::chrono::hours(1);
+
 double DistanceCost(Distance distance, int job_task_count) {
   const double tasks = std::max(job_task_count, 1);
   switch (distance) {
@@ -131,10 +136,10 @@
 base::Duration TimeToRoom(const Candidate& candidate,
                           const TaskRequirements& requirements,
                           base::TimePoint now) {
+  // No run whose end is known: the endpoint may be idle and too small.
+  if (!candidate.next_free) return kUnknownTimeToRoom;
   const base::Duration next_end =
-      candidate.next_free
-          ? std::max(*candidate.next_free - now, base::Duration{0})
-          : requirements.estimate;
+      std::max(*candidate.next_free - now, base::Duration{0});
   const auto needed = static_cast<double>(
       std::max<std::int64_t>(requirements.resources.cpu_milli, 1));
   const double missing_share = std::clamp(
--- a/src/libs/runs/failure_detector.cc
+++ b/src/libs/runs/failure_detector.cc
@@ -70,6 +70,8 @@
 
 void FailureDetector::RecordFailure(PollState state, base::TimePoint sent) {
   this->RecordLoss();
+  // The polls of a silent endpoint say nothing about the time after its return.
+  if (this->silent) return;
   // A poll that was sent at the time of the last answer may have followed it.
   if (sent < this->last_answer) return;
   this->has_failure = true;
--- a/src/libs/runs/session_state.h
+++ b/src/libs/runs/session_state.h
@@ -9,8 +9,7 @@
   /// The endpoint has confirmed the fencing token.
   kReady,
   /// Several orders in a row have no answer (FailureDetector), or the first
-  /// probe
-  /// is not answered yet.
+  /// probe is not answered yet.
   kUnreachable,
   /// A higher fencing token is in force: another process holds the endpoint.
   kFencedOff,
--- a/tests/jobs/reserve_test.cc
+++ b/tests/jobs/reserve_test.cc
@@ -53,6 +53,17 @@
   EXPECT_EQ(this->jobs.placer.PlacementsAt("f"), 0);
 }
 
+// Guards against a large task that reserves an idle endpoint which can never
+// hold it, and loses the next free place at a large one to smaller tasks.
+TEST_F(ReserveTest, IdleEndpointThatIsTooSmallIsNotReserved) {
+  jobs::Candidate small = this->Partial("small", milliseconds(0));
+  small.next_free.reset();
+  this->jobs.Offer({small, this->jobs.Busy("large", 1, milliseconds(600))});
+  this->SubmitLarge();
+  this->SubmitSmall();
+  EXPECT_EQ(this->jobs.placer.PlacementsAt("small"), 1);
+}
+
 TEST_F(ReserveTest, SeveralWaitingTasksReserveDifferentEndpoints) {
   this->jobs.Offer({this->Partial("e", milliseconds(300)),
                     this->Partial("f", milliseconds(20)),
--- a/tests/runs/failure_detector_test.cc
+++ b/tests/runs/failure_detector_test.cc
@@ -268,6 +268,23 @@
   EXPECT_FALSE(this->detector.IsSilent());
 }
 
+// Guards against an endpoint that is closed again after one lost poll: the
+// polls that failed while it was silent were counted after its return.
+TEST_F(FailureDetectorTest, FailuresDuringSilenceDoNotCountAfterIt) {
+  this->detector.BeginSilence();
+  for (int i = 0; i < 4; ++i) {
+    const base::TimePoint sent = this->clock.Now();
+    const auto poll = this->detector.RecordPoll(kNoWait);
+    this->clock.Advance(milliseconds(150));
+    this->detector.RecordFailure(this->detector.RecordReply(poll), sent);
+  }
+  EXPECT_FALSE(this->detector.HasTooManyMisses());
+  this->detector.EndSilence();
+  this->detector.RecordPoll(kNoWait);
+  this->clock.Advance(milliseconds(80));
+  EXPECT_EQ(this->detector.Check(false, false), Action::kRepeat);
+}
+
 TEST_F(FailureDetectorTest, PausesGrowUntilTheSilenceEnds) {
   this->detector.BeginSilence();
   for (const int pause_ms : {250, 250, 500, 500, 1'000, 1'000, 2'000, 2'000}) {
