Cluster: roles are assigned at the tick after the discovery of the members again

Change: the timer is removed; weak processes still wait for stronger listed members. Tests: membership_discovery_test, heartbeat_test, hosted_rules_test and hosted_fault_test pass.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -110,7 +110,6 @@
       seeds(std::move(seeds)),
       discovery(this->board, parts.clock.Now()),
       tick_timer(parts.clock),
-      discovery_timer(parts.clock),
       announce_timer(parts.clock),
       presence_timer(parts.clock),
       last_tick(parts.clock.Now()) {
@@ -198,8 +197,6 @@
       this->AddMember(record.key);
     }
     this->sender.SendToAll();
-    this->discovery_timer.StartOnce(MembershipDiscovery::kHeartbeatTime,
-                                    [this] { this->CheckMembership(); });
   }
   for (const catalog::StoreRecord& record : records) {
     if (record.value.empty()) continue;
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -133,9 +133,6 @@
   std::function<void()> capacity_listener;
   MembershipDiscovery discovery;
   base::Timer tick_timer;
-  /// Fires when the heartbeats after the first read of the members have had
-  /// time to arrive, which is sooner than the next tick.
-  base::Timer discovery_timer;
   base::Timer announce_timer;
   base::Timer presence_timer;
   base::TimePoint last_tick;
