--- a/tests/runs/next_free_test.cc
+++ b/tests/runs/next_free_test.cc
@@ -94,7 +94,8 @@
   EXPECT_EQ(this->NextFreeMs(), 70);
 }
 
-// The progress is reported in whole percents, so that 25% means 25.5% on average.
+// The progress is reported in whole percents, so that 25% means 25.5% on
+// average.
 TEST_F(NextFreeTest, ProgressCorrectsTheDeclaredRunTime) {
   this->Start("task", milliseconds(400));
   this->clock.Advance(milliseconds(200));
