Logs: runs that are stopped with their job, and runs that go on after their stop

The record of the incident has two runs of a task at two endpoints, and the logs could not tell why: which runs a job had when it ended was not logged, nor that a run went on after it was told to stop, nor that a copy of a job met runs of an earlier submission.

"Job ended." names the runs that are stopped with the job (no additional line, since the log's rate limit drops lines under load). "Run has ended late after its stop." and the metrics runs.stop_ms and runs.late_stops show stops that were lost or late. A copy that meets runs being stopped is logged.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -155,6 +155,10 @@
   if (ending != this->ending_runs.end()) {
     for (Job::Task& task : job->tasks) task.run = ending->second.last_run;
     job->has_unconfirmed_run = true;
+    kLog.Info(
+        "Job is submitted again while runs of it are being stopped. job={} "
+        "tasks={} last_run={}",
+        job->request.id, ending->second.open.size(), ending->second.last_run);
   }
   job->nominal_run_time = job->request.estimate;
   job->timer = std::make_unique<base::Timer>(this->clock);
--- a/src/libs/jobs/job_end_log.cc
+++ b/src/libs/jobs/job_end_log.cc
@@ -31,6 +31,18 @@
       job.refused_placements, job.has_unconfirmed_run);
 }
 
+// Returns the runs in progress as INDEX/RUN@ENDPOINT, separated by commas.
+std::string RunsInProgress(const Job& job) {
+  std::string runs;
+  for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+    const Job::Task& task = job.tasks[index];
+    if (task.state != Job::TaskState::kPlaced) continue;
+    if (!runs.empty()) runs += ",";
+    runs += fmt::format("{}/{}@{}", index, task.run, task.placed_run.endpoint);
+  }
+  return runs;
+}
+
 }  // namespace
 
 void LogComplete(const Job& job, base::TimePoint now) {
@@ -42,12 +54,13 @@
 void LogEarlyEnd(const Job& job, JobEnd end, base::TimePoint now,
                  const EarlyEnd& state) {
   kLog.Info(
-      "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} {} "
+      "Job ended. job={} route={} version={} end={} cause=\"{}\" age_ms={} "
+      "stopped_runs={} {} "
       "expected_ms={} done={} waiting={} slowest_pace={:.2f} room={} "
       "room_in_time={} "
       "ahead={} left_ms={} retry_after_ms={}",
       job.request.id, job.route.name, job.config_version, NameOf(end),
-      state.cause, AgeAt(job, now), SizeOf(job),
+      state.cause, AgeAt(job, now), RunsInProgress(job), SizeOf(job),
       state.expected / milliseconds(1), job.done_tasks, job.waiting_tasks,
       job.SlowestPace(), state.room.tasks, state.room.tasks_in_time,
       state.tasks_ahead, (job.deadline - now) / milliseconds(1),
--- a/src/libs/jobs/job_end_log.h
+++ b/src/libs/jobs/job_end_log.h
@@ -23,7 +23,8 @@
 /// placements.
 void LogComplete(const Job& job, base::TimePoint now);
 
-/// Logs the end of another job, also with its state at that moment.
+/// Logs the end of another job, also with its state at that moment and the runs
+/// in progress that are stopped.
 void LogEarlyEnd(const Job& job, JobEnd end, base::TimePoint now,
                  const EarlyEnd& state);
 
--- a/src/libs/runs/endpoint_run.h
+++ b/src/libs/runs/endpoint_run.h
@@ -92,6 +92,10 @@
   bool overtaken_by_restart = false;
   /// Endpoint's clock in milliseconds when it accepted the stop; 0 before.
   std::int64_t stop_clock_ms = 0;
+  /// Time at which the run was first ordered to stop; empty before.
+  std::optional<base::TimePoint> stop_requested;
+  /// Number of stop orders that were sent.
+  int stop_orders = 0;
   std::unique_ptr<base::Timer> timer;
 };
 
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -30,6 +30,10 @@
 constexpr int kMaxFenceRaises = 10;
 constexpr std::int64_t kFirstFenceRaiseMs = 1'000;
 
+// A run that ends later than this after its first stop order is logged. An
+// endpoint takes up to 50 ms, so at least one order or answer was lost or late.
+constexpr base::Duration kLateStop = milliseconds(200);
+
 // Wait of a poll while the progress of a run is watched.
 constexpr base::Duration kProgressPollWait = milliseconds(160);
 
@@ -271,6 +275,8 @@
   Run& run = found->second;
   if (!run.timer) run.timer = std::make_unique<base::Timer>(this->parts.clock);
   run.timer->StartOnce(kStopRetry, [this, key] { this->SendStop(key); });
+  if (!run.stop_requested) run.stop_requested = this->parts.clock.Now();
+  ++run.stop_orders;
   this->parts.metrics.Count("runs.stops");
   this->parts.orders.Stop(
       this->Target(this->parts.settings.answer_time), key.first, key.second,
@@ -745,12 +751,30 @@
 void EndpointSession::End(const RunKey& key, RunOutcome outcome) {
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
+  this->RecordStop(key, found->second, outcome);
   const auto on_end = std::move(found->second.handlers.on_end);
   this->runs.erase(found);
   this->parts.metrics.Count(std::string("runs.ended.") + runs::NameOf(outcome));
   on_end(outcome);
 }
 
+// Records how long a run that has ended went on after its first stop order.
+void EndpointSession::RecordStop(const RunKey& key, const Run& run,
+                                 RunOutcome outcome) {
+  if (!run.stop_requested) return;
+  const base::Duration stop_time =
+      this->parts.clock.Now() - *run.stop_requested;
+  this->parts.metrics.Observe(
+      "runs.stop_ms", static_cast<double>(stop_time / milliseconds(1)));
+  if (stop_time < kLateStop) return;
+  this->parts.metrics.Count("runs.late_stops");
+  kLog.Info(
+      "Run has ended late after its stop. endpoint={} task={} run={} "
+      "outcome={} stop_ms={} orders={} foreign={}",
+      this->entry.id, key.first, key.second, runs::NameOf(outcome),
+      stop_time / milliseconds(1), run.stop_orders, run.foreign);
+}
+
 // Ends a run whose end the endpoint has not reported.
 void EndpointSession::Settle(const RunKey& key, RunOutcome outcome,
                              SettlementEvidence evidence) {
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -139,6 +139,7 @@
   bool CheckIncarnation(std::int64_t reported_start_ms);
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
+  void RecordStop(const RunKey& key, const Run& run, RunOutcome outcome);
   void Settle(const RunKey& key, RunOutcome outcome,
               SettlementEvidence evidence);
   void EndAllAsLost(const char* cause, SettlementEvidence evidence);
