Tests: copies of a job that start beside a run of the earlier submission

Callers saw a task at work at two endpoints of two failure domains. Four tests show this: the stop of the earlier run is lost; its coordinator is lost and only the holder of the endpoint knows the run; the copy reaches the holder itself; the earlier submission is still open when the copy arrives, 1.35 s after it. LeasedEndpoints can lose stop orders.

--- /dev/null
+++ b/tests/jobs/copied_job_test.cc
@@ -0,0 +1,164 @@
+// Checks copies of a job that reach a coordinator which knows nothing of the
+// earlier submission, while a run of that submission is in progress.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "support/hosted_fleet.h"
+
+namespace hawthornwheel::testing {
+namespace {
+
+using jobs::JobEnd;
+using runs::RunEndKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kPath[] = "/a/";
+constexpr char kLongTimeoutPath[] = "/l/";
+constexpr char kNorthEndpoint[] = "north-e0";
+// Time after which a caller without a final answer sends its job again.
+constexpr base::Duration kRepeatDelay = milliseconds(1'300);
+
+// Two failure domains with one large endpoint and two coordinators each. A long
+// run at the endpoint of north keeps the lease of all runs there renewed.
+class CopiedJobTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    this->fleet.Publish("1 /a/:1 /l/:1:20000");
+    for (const char* domain : {"north", "south"}) {
+      this->fleet.AddEndpoint(std::string(domain) + "-e0", domain, 64'000);
+      for (int i = 0; i < 2; ++i) {
+        this->fleet.AddProcess(std::string(domain) + std::to_string(i), domain);
+      }
+    }
+    this->fleet.Run(seconds(2));
+    this->fleet.Submit("north0", kLongTimeoutPath, 1, seconds(15));
+    this->fleet.Run(milliseconds(50));
+    ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 1U);
+  }
+
+  void TearDown() override {
+    EXPECT_TRUE(this->fleet.endpoints.Violations().empty())
+        << this->fleet.endpoints.Violations().front();
+  }
+
+  // Returns the process of north that holds its endpoint, or the other one.
+  std::string NorthProcess(bool holder) {
+    const bool north0_holds =
+        this->fleet.Process("north0").pool.Sessions().contains(kNorthEndpoint);
+    return north0_holds == holder ? "north0" : "north1";
+  }
+
+  // Returns a job of one task.
+  jobs::JobRequest NewJob(base::Duration time, base::Duration estimate) {
+    return this->fleet.NewRequest(kPath, 1, time, estimate, RunEndKind::kDone);
+  }
+
+  std::uint64_t Submit(const std::string& process,
+                       const jobs::JobRequest& request) {
+    return this->fleet.Process(process).relay.Submit(
+        request,
+        [this](const jobs::JobAnswer& reply) { this->answer = reply; });
+  }
+
+  // Submits a job whose run lasts for seconds, and gives it up while it is at
+  // work in north.
+  void SubmitAndAbandon(const std::string& process,
+                        const jobs::JobRequest& request) {
+    const std::uint64_t caller = this->Submit(process, request);
+    this->fleet.Run(milliseconds(50));
+    ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+    this->fleet.Process(process).relay.Abandon(request.id, caller);
+    this->answer.reset();
+  }
+
+  void LoseStops(bool lost) {
+    LeasedEndpoints::Faults faults;
+    faults.stops_lost = lost ? 1 : 0;
+    this->fleet.endpoints.SetFaults(faults);
+  }
+
+  std::uint64_t StartsOf(const jobs::JobRequest& request) const {
+    return this->fleet.endpoints.StartsOf(request.payload);
+  }
+
+  HostedFleet fleet;
+  /// Latest answer to Submit().
+  std::optional<jobs::JobAnswer> answer;
+};
+
+TEST_F(CopiedJobTest, CopyStartsAtOnceWhenEarlierRunHasEnded) {
+  const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  this->SubmitAndAbandon(this->NorthProcess(false), job);
+  this->fleet.Run(kRepeatDelay);
+  this->Submit("south0", job);
+  this->fleet.Run(milliseconds(20));
+  EXPECT_EQ(this->StartsOf(job), 2U);
+}
+
+// Guards against TWICE (issue 38): a copy started in another failure domain
+// while the run of the first submission went on, since its stop was lost.
+TEST_F(CopiedJobTest, CopyInAnotherDomainWaitsForRunThatIsBeingStopped) {
+  const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  this->LoseStops(true);
+  this->SubmitAndAbandon(this->NorthProcess(false), job);
+  this->fleet.Run(kRepeatDelay);
+  this->Submit("south0", job);
+  this->fleet.Run(seconds(1));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+  // The earlier run may have had effects, so the copy is not refused.
+  ASSERT_TRUE(this->answer.has_value());
+  EXPECT_EQ(this->answer->end, JobEnd::kInterrupted);
+  this->LoseStops(false);
+  this->fleet.Run(milliseconds(700));
+  this->Submit("south0", job);
+  this->fleet.Run(milliseconds(20));
+  EXPECT_EQ(this->StartsOf(job), 2U);
+}
+
+// Guards against TWICE (issue 38): the coordinator of the first submission was
+// lost, and only the holder of the endpoint knew of the run.
+TEST_F(CopiedJobTest, CopyWaitsForRunWhoseCoordinatorWasLost) {
+  const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  const std::string coordinator = this->NorthProcess(false);
+  this->LoseStops(true);
+  this->Submit(coordinator, job);
+  this->fleet.Run(milliseconds(50));
+  this->fleet.Kill(coordinator);
+  this->fleet.Run(kRepeatDelay);
+  this->Submit("south0", job);
+  this->fleet.Run(seconds(1));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+}
+
+// Guards against TWICE (issue 38): the holder of the run got the copy, and
+// placed it at an endpoint of another process.
+TEST_F(CopiedJobTest, CopyAtHolderOfEndpointWaitsForRunOfOtherCoordinator) {
+  const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  this->LoseStops(true);
+  this->SubmitAndAbandon(this->NorthProcess(false), job);
+  this->fleet.Run(kRepeatDelay);
+  this->Submit(this->NorthProcess(true), job);
+  this->fleet.Run(seconds(1));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+}
+
+// Guards against TWICE (issue 38): a caller lost its connection, which the
+// process that took the job had not noticed when the copy arrived.
+TEST_F(CopiedJobTest, CopyWaitsForSubmissionThatIsStillOpen) {
+  const jobs::JobRequest job =
+      this->NewJob(milliseconds(1'450), milliseconds(1'200));
+  this->Submit(this->NorthProcess(false), job);
+  this->fleet.Run(milliseconds(1'350));
+  ASSERT_EQ(this->StartsOf(job), 1U);
+  this->Submit("south0", job);
+  this->fleet.Run(seconds(2));
+  EXPECT_GT(this->fleet.endpoints.DoneOf(job.payload), 0U);
+}
+
+}  // namespace
+}  // namespace hawthornwheel::testing
