Jobs: a copy waits for the runs of an earlier submission at other processes

A job that cannot meet its deadline is answered with 502 at once, its runs are stopped, and its caller sends it again 1.3 s later, to any domain.

The coordinator that ends a job answers in the same step in which it sends the stops, and only that process remembers the runs until their ends are known. A copy at a coordinator of another domain relied on time alone: that 1.3 s is enough to stop a run. It is not when a stop is lost or carried out late, when the process that took the job has not noticed that its caller is gone, or when the process that would stop the run is lost.

CopiedJobTest: four tests failed on the commit before with two runs in two domains, and pass now. In the record no process was lost near the case and no run was settled wrongly, which would have been logged as warnings.

Heartbeats, which coordinators exchange every 0.2 s anyway, report the jobs with runs in progress: those of ended jobs until their end is known, those of open jobs from an age of 0.9 s on or when the caller is not known to wait, and orphaned runs, which the holder of the endpoint reports. A coordinator places no task of a job that another process reports or whose runs it hosts itself, and continues with higher run numbers, so that endpoints do not refuse them as stale. The answer to the first caller is as early as before. A job whose runs have ended is not reported, so its copy starts at once (CopyStartsAtOnceWhenEarlierRunHasEnded).

Why a broadcast: the copy cannot be told from a new job, so asking would cost each job a round trip; a coordinator for all domains would cost latency and depend on one domain. The state is in memory and rebuilt by heartbeats, as all state about runs.

Before: 4 of 5 tests of copied_job_test fail. After: 0; hosted_rules_test, hosted_fault_test, job_relay_test, job_coordinator_test and connection_reset_test pass.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "cluster/coordinator.h"
 #include "cluster/held_endpoint.h"
+#include "cluster/job_runs.h"
 #include "wire/peer.pb.h"
 
 namespace hawthornwheel::cluster {
@@ -26,6 +27,9 @@
     /// processes it sends some with free resources, and those of domains other
     /// than its own.
     std::map<std::string, HeldEndpoint> held;
+    /// Jobs with runs in progress in its last full heartbeat, with their
+    /// highest run number, by job id.
+    JobRuns jobs_in_progress;
     base::TimePoint first_known;
     base::TimePoint last_heard;
     /// Whether its heartbeats arrive in time.
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -41,6 +41,11 @@
 // counts as gone. Covers the time to detect the loss, one write and one read of
 // the presence record, and a margin.
 constexpr base::Duration kGoneAfter = milliseconds(1'500);
+// Time after the last heartbeat of a process for which its report of jobs in
+// progress counts. By then the holders of the endpoints have counted it as lost
+// (0.8 to 1 s) and report the runs that go on, or the leases have expired (1
+// s).
+constexpr base::Duration kJobReportValidity = milliseconds(1'500);
 constexpr base::Duration kAnnounceRetry = milliseconds(700);
 
 HeldEndpoint Decode(const wire::HeldEndpoint& reported, base::TimePoint now) {
@@ -60,6 +65,14 @@
   return held;
 }
 
+JobRuns JobsOf(const wire::MemberHeartbeat& heartbeat) {
+  JobRuns jobs;
+  for (const wire::JobInProgress& job : heartbeat.jobs_in_progress()) {
+    AddRun(jobs, job.id(), job.last_run());
+  }
+  return jobs;
+}
+
 // Merges the endpoints of a heartbeat into `held`. Returns whether the set of
 // endpoints has changed.
 bool MergeHeld(const wire::MemberHeartbeat& heartbeat, base::TimePoint now,
@@ -138,6 +151,24 @@
   this->sender.SetHeldEndpointWriter(std::move(writer));
 }
 
+void ClusterController::SetJobsInProgress(
+    HeartbeatSender::JobsInProgress jobs) {
+  this->sender.SetJobsInProgress(std::move(jobs));
+}
+
+JobRuns ClusterController::JobsInProgressElsewhere() const {
+  JobRuns jobs;
+  const base::TimePoint now = this->parts.clock.Now();
+  for (const auto& [address, member] : this->board.members) {
+    if (member.jobs_in_progress.empty()) continue;
+    if (now - member.last_heard > kJobReportValidity) continue;
+    for (const auto& [id, last_run] : member.jobs_in_progress) {
+      AddRun(jobs, id, last_run);
+    }
+  }
+  return jobs;
+}
+
 void ClusterController::SetMembersListener(std::function<void()> listener) {
   this->members_listener = std::move(listener);
 }
@@ -489,6 +520,7 @@
   }
   if (!same_process) {
     member.held.clear();
+    member.jobs_in_progress.clear();
     member.confirmed_steady_ms = 0;
     member.confirmed_since_steady_ms = 0;
   }
@@ -506,8 +538,10 @@
   // A member of another domain reports different endpoints each time. Claims of
   // endpoints there wait for the next periodic check.
   if (holds_others && this->board.IsSameDomain(member)) changed = true;
+  if (!heartbeat.partial()) member.jobs_in_progress = JobsOf(heartbeat);
   member.last = heartbeat;
   member.last.clear_held();
+  member.last.clear_jobs_in_progress();
   member.last.clear_peers();
   member.live = true;
   member.presumed_gone = false;
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -50,6 +50,15 @@
   /// Sets the function that writes the held endpoints into a heartbeat.
   void SetHeldEndpointWriter(HeartbeatSender::HeldEndpointWriter writer);
 
+  /// Sets the function that returns the jobs with runs in progress which copies
+  /// at other processes have to wait for. Heartbeats report them.
+  void SetJobsInProgress(HeartbeatSender::JobsInProgress jobs);
+
+  /// Returns the jobs with runs in progress that other processes have reported.
+  /// The report of a lost process counts until its runs have ended or are
+  /// reported by the holders of their endpoints.
+  JobRuns JobsInProgressElsewhere() const;
+
   /// Sets the function that is called when a member joins, leaves or is lost,
   /// holds other endpoints, or has another role.
   void SetMembersListener(std::function<void()> listener);
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -115,6 +115,7 @@
   heartbeat.set_interval_ms(
       static_cast<std::uint32_t>(member.reported_interval / milliseconds(1)));
   if (this->held_writer) this->held_writer(heartbeat, detail);
+  this->WriteJobs(heartbeat);
   if (!member.live || this->ticks % kGossipTicks == 0) {
     for (const auto& [peer, other] : this->board.members) {
       if (other.live) heartbeat.add_peers(peer);
@@ -123,6 +124,15 @@
   this->hooks.send(address, std::move(envelope));
 }
 
+void HeartbeatSender::WriteJobs(wire::MemberHeartbeat& heartbeat) const {
+  if (!this->jobs_in_progress) return;
+  for (const auto& [id, last_run] : this->jobs_in_progress()) {
+    wire::JobInProgress& job = *heartbeat.add_jobs_in_progress();
+    job.set_id(id);
+    job.set_last_run(last_run);
+  }
+}
+
 void HeartbeatSender::MarkHeldChanged() {
   const bool peer_waits = std::any_of(
       this->board.members.begin(), this->board.members.end(),
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "base/timer.h"
 #include "cluster/cluster_board.h"
@@ -32,6 +33,9 @@
   using HeldEndpointWriter =
       std::function<void(wire::MemberHeartbeat&, Detail)>;
 
+  /// Returns the jobs that a copy at another process has to wait for.
+  using JobsInProgress = std::function<JobRuns()>;
+
   struct Hooks {
     /// Fills in the sender, its state, versions and clock.
     std::function<void(wire::MemberHeartbeat&)> fill_heartbeat;
@@ -48,6 +52,10 @@
     this->held_writer = writer;
   }
 
+  void SetJobsInProgress(JobsInProgress jobs) {
+    this->jobs_in_progress = std::move(jobs);
+  }
+
   /// Sends the heartbeats that are due. Must be called every kTick.
   void Tick();
   static constexpr base::Duration kTick = std::chrono::milliseconds(200);
@@ -75,6 +83,7 @@
   Detail DetailFor(const ClusterBoard::Member& member) const;
   void SendTo(const std::string& address, ClusterBoard::Member& member,
               Detail detail);
+  void WriteJobs(wire::MemberHeartbeat& heartbeat) const;
   void SendUpdate(bool announce_waiting);
   bool IsUpdateTarget(const ClusterBoard::Member& member) const;
   bool IsOwnDomainEvacuated() const;
@@ -83,6 +92,7 @@
   ClusterBoard& board;
   Hooks hooks;
   HeldEndpointWriter held_writer;
+  JobsInProgress jobs_in_progress;
   base::Timer update_timer;
   /// Whether the scheduled update uses the short delay.
   bool update_urgent = false;
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -6,6 +6,7 @@
 
 #include "catalog/catalog_controller.h"
 #include "cluster/cluster_controller.h"
+#include "jobs/task_name.h"
 #include "runs/endpoint_pool.h"
 #include "runs/remote_runs.h"
 
@@ -30,6 +31,12 @@
          std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+void AddRuns(cluster::JobRuns& jobs, const std::vector<runs::RunKey>& runs) {
+  for (const auto& [task, run] : runs) {
+    cluster::AddRun(jobs, JobOfTask(task), run);
+  }
+}
+
 }  // namespace
 
 FleetPlacer::FleetPlacer(cluster::ClusterController& cluster,
@@ -162,6 +169,20 @@
   this->pool.StopTask(placed.endpoint, placed.task, placed.run);
 }
 
+cluster::JobRuns FleetPlacer::RunsOfOthers() const {
+  cluster::JobRuns jobs = this->cluster.JobsInProgressElsewhere();
+  AddRuns(jobs, this->remote.HostedRuns());
+  AddRuns(jobs, this->pool.ForeignRuns());
+  return jobs;
+}
+
+cluster::JobRuns FleetPlacer::OrphanedRuns() const {
+  cluster::JobRuns jobs;
+  AddRuns(jobs, this->remote.OrphanedRuns());
+  AddRuns(jobs, this->pool.ForeignRuns());
+  return jobs;
+}
+
 void FleetPlacer::SetTasksWaiting(bool waiting) {
   this->cluster.SetTasksWaiting(waiting);
 }
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -34,6 +34,8 @@
   bool Place(const Candidate& candidate, const runs::TaskOrder& order,
              runs::RunHandlers handlers, PlacedRun* placed) override;
   void Stop(const PlacedRun& placed) override;
+  cluster::JobRuns RunsOfOthers() const override;
+  cluster::JobRuns OrphanedRuns() const override;
   void SetTasksWaiting(bool waiting) override;
   bool TasksWait() const override;
 
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -64,6 +64,12 @@
                      });
 }
 
+std::uint64_t Job::LastRun() const {
+  std::uint64_t last_run = 0;
+  for (const Task& task : this->tasks) last_run = std::max(last_run, task.run);
+  return last_run;
+}
+
 double Job::SlowestPace() const {
   double slowest = 0;
   for (const Task& task : this->tasks) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -91,6 +91,8 @@
   /// Whether a run may exist that no endpoint shows: a start order without an
   /// answer, or a run of an earlier submission of the job.
   bool has_unconfirmed_run = false;
+  /// Whether the job has waited for runs that another process placed.
+  bool awaits_other_runs = false;
   std::vector<Caller> callers;
   std::unique_ptr<base::Timer> timer;
 
@@ -120,6 +122,9 @@
   /// Returns whether a caller is known to wait still.
   bool IsAwaited() const;
 
+  /// Returns the highest run number of its tasks.
+  std::uint64_t LastRun() const;
+
   /// Returns the highest pace at which a placed task runs, or 0 if none is
   /// placed.
   double SlowestPace() const;
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -10,6 +10,7 @@
 #include "catalog/catalog_controller.h"
 #include "jobs/job_end_log.h"
 #include "jobs/overdue_policy.h"
+#include "jobs/task_name.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -24,6 +25,10 @@
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
 constexpr base::Duration kExpiryInterval = seconds(1);
+// Age from which a job with runs in progress is reported to other processes.
+// Its caller may have lost the connection at once without this process knowing,
+// and submits the job again after 1.3 s. Two reports fit into the rest.
+constexpr base::Duration kCopyNotice = milliseconds(900);
 // Retry time for jobs of routes that require a placement hint. These are not
 // supported yet; an update may change that.
 constexpr base::Duration kUnsupportedRetry = seconds(60);
@@ -190,9 +195,14 @@
               return a->IsPlacedBefore(*b);
             });
   std::vector<Candidate> candidates = this->ValuedCandidates();
+  const cluster::JobRuns runs_of_others = this->placer.RunsOfOthers();
   this->wait.BeginPass(this->clock.Now());
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
+    if (this->AwaitsRunsOfOthers(*job, runs_of_others)) {
+      this->RetryPlacement();
+      continue;
+    }
     if (!job->IsAwaited()) {
       this->metrics.Count("jobs.unconfirmed_placements");
       this->RetryPlacement();
@@ -299,6 +309,29 @@
   this->metrics.Observe("jobs.run_time_error", std::abs(error));
 }
 
+// Returns whether runs of the job that this process has not placed are in
+// progress, since an earlier submission of the job went to another process. The
+// tasks then get higher run numbers, which the endpoints do not refuse.
+bool JobCoordinator::AwaitsRunsOfOthers(Job& job,
+                                        const cluster::JobRuns& others) {
+  const auto found = others.find(job.request.id);
+  if (found == others.end()) return false;
+  for (Job::Task& task : job.tasks) {
+    if (task.state == Job::TaskState::kWaiting)
+      task.run = std::max(task.run, found->second);
+  }
+  job.has_unconfirmed_run = true;
+  if (job.awaits_other_runs) return true;
+  job.awaits_other_runs = true;
+  this->metrics.Count("jobs.copies_delayed");
+  kLog.Info(
+      "Job waits for runs that another process has placed. job={} last_run={} "
+      "age_ms={}",
+      job.request.id, found->second,
+      (this->clock.Now() - job.arrival) / milliseconds(1));
+  return true;
+}
+
 JobCoordinator::Placement JobCoordinator::PlaceTasks(
     Job& job, std::vector<Candidate>& candidates) {
   const TaskRequirements requirements = this->RequirementsOf(job);
@@ -360,7 +393,7 @@
   Job::Task& task = job.tasks[index];
   const double pace = PaceFor(candidate, requirements);
   runs::TaskOrder order;
-  order.task = fmt::format("{}.0.0.{}", job.request.id, index);
+  order.task = TaskName(job.request.id, index);
   order.run = ++task.run;
   order.endpoint = std::string(candidate.endpoint);
   order.incarnation_start_ms = candidate.incarnation_start_ms;
@@ -612,6 +645,20 @@
   if (open.empty()) this->ending_runs.erase(ending);
 }
 
+cluster::JobRuns JobCoordinator::JobsInProgress() const {
+  cluster::JobRuns in_progress = this->placer.OrphanedRuns();
+  for (const auto& [id, ending] : this->ending_runs) {
+    cluster::AddRun(in_progress, id, ending.last_run);
+  }
+  const base::TimePoint now = this->clock.Now();
+  for (const auto& [id, job] : this->jobs) {
+    if (job->placed_tasks == 0) continue;
+    if (now - job->arrival < kCopyNotice && job->IsAwaited()) continue;
+    cluster::AddRun(in_progress, id, job->LastRun());
+  }
+  return in_progress;
+}
+
 // Returns whether a task has a run of an earlier submission of its job whose
 // end is not reported yet.
 bool JobCoordinator::HasEndingRun(const Job& job, std::size_t index) const {
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/job_runs.h"
 #include "jobs/candidate.h"
 #include "jobs/endpoint_choice.h"
 #include "runs/task_order.h"
@@ -44,6 +45,16 @@
   /// Stops a placed run.
   virtual void Stop(const PlacedRun& placed) = 0;
 
+  /// Returns the jobs with runs in progress that this process has not placed:
+  /// runs of other processes at its endpoints, and those that other processes
+  /// report.
+  virtual cluster::JobRuns RunsOfOthers() const { return {}; }
+
+  /// Returns the jobs with runs at the endpoints of this process that the
+  /// process which placed them cannot report: it is lost, or an earlier holder
+  /// of the endpoint started them.
+  virtual cluster::JobRuns OrphanedRuns() const { return {}; }
+
   /// Sets whether tasks wait for free capacity.
   virtual void SetTasksWaiting(bool waiting) = 0;
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -113,6 +113,8 @@
     });
     this->cluster.SetCapacityListener(
         [this] { this->jobs.SchedulePlacement(); });
+    this->cluster.SetJobsInProgress(
+        [this] { return this->jobs.JobsInProgress(); });
     this->pool.SetListener([this] { this->jobs.SchedulePlacement(); });
   }
 
@@ -242,10 +244,13 @@
   const nlohmann::json evacuated = catalog.evacuations.Domains();
   std::string text = fmt::format(
       R"({{"incarnation":"{}","version":{},"evacuated":{},)"
-      R"("evacuations_revision":{},"endpoints":{},"jobs":{},"sessions":[)",
+      R"("evacuations_revision":{},"endpoints":{},"jobs":{},)"
+      R"("jobs_in_progress":{},"jobs_in_progress_elsewhere":{},"sessions":[)",
       this->d->cluster.Board().self.incarnation(), catalog.Version(),
       evacuated.dump(), catalog.evacuations.Revision(),
-      catalog.endpoints.size(), this->d->jobs.OpenJobs());
+      catalog.endpoints.size(), this->d->jobs.OpenJobs(),
+      this->d->jobs.JobsInProgress().size(),
+      this->d->cluster.JobsInProgressElsewhere().size());
   const char* separator = "";
   for (const auto& [id, session] : this->d->pool.Sessions()) {
     const auto next = session->NextFree();
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -114,6 +114,16 @@
   if (found != this->sessions.end()) found->second->Stop(task, run);
 }
 
+std::vector<RunKey> EndpointPool::ForeignRuns() const {
+  std::vector<RunKey> foreign;
+  for (const auto& [id, session] : this->sessions) {
+    for (RunKey& key : runs::ForeignRuns(session->Runs())) {
+      foreign.push_back(std::move(key));
+    }
+  }
+  return foreign;
+}
+
 void EndpointPool::Reconcile() {
   this->ReleaseEndpoints();
   this->ClaimEndpoints();
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -57,6 +57,10 @@
   void StopTask(const std::string& endpoint, const std::string& task,
                 std::uint64_t run);
 
+  /// Returns the runs at the endpoints of this process that an earlier holder
+  /// started.
+  std::vector<RunKey> ForeignRuns() const;
+
   /// Returns the sessions by endpoint id.
   const std::map<std::string, std::unique_ptr<EndpointSession>>& Sessions()
       const {
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -76,6 +76,7 @@
   /// Sets the pace at which the learned one began.
   void SetStartPace(double pace) { this->health.SetStartPace(pace); }
   std::size_t RunCount() const { return this->runs.size(); }
+  const RunMap& Runs() const { return this->runs; }
   /// Returns whether orders to the endpoint were lost in the last seconds.
   bool IsLossy() const { return this->failures.IsLossy(); }
 
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -243,6 +243,22 @@
   this->metrics.Count("remote.hosted");
 }
 
+std::vector<RunKey> RemoteRuns::HostedRuns() const {
+  std::vector<RunKey> runs;
+  for (const auto& [key, run] : this->hosted) {
+    runs.emplace_back(run.task, run.run);
+  }
+  return runs;
+}
+
+std::vector<RunKey> RemoteRuns::OrphanedRuns() const {
+  std::vector<RunKey> runs;
+  for (const auto& [key, run] : this->hosted) {
+    if (run.orphaned) runs.emplace_back(run.task, run.run);
+  }
+  return runs;
+}
+
 wire::PlacementReport& RemoteRuns::PendingReport(const HostedKey& key) {
   const auto& [address, incarnation, placement] = key;
   this->ScheduleFlush();
@@ -354,12 +370,13 @@
 
 void RemoteRuns::CheckOrigins() {
   std::vector<Hosted> orphans;
-  for (const auto& [key, run] : this->hosted) {
+  for (auto& [key, run] : this->hosted) {
     const cluster::ClusterBoard::Member* origin =
         this->cluster.Board().FindLive(std::get<0>(key));
     if (origin == nullptr ||
         origin->announce.incarnation() != std::get<1>(key) ||
         this->HasGivenUp(*origin)) {
+      run.orphaned = true;
       orphans.push_back(run);
     }
   }
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -11,6 +11,7 @@
 
 #include "base/timer.h"
 #include "cluster/cluster_board.h"
+#include "runs/run_map.h"
 #include "runs/task_order.h"
 #include "wire/peer.pb.h"
 
@@ -61,6 +62,13 @@
   /// Checks for lost members and ends or stops the runs that depend on them.
   void CheckMembers();
 
+  /// Returns the runs of other processes at endpoints of this process.
+  std::vector<RunKey> HostedRuns() const;
+
+  /// Returns those of them that are being stopped since the process that placed
+  /// them is lost.
+  std::vector<RunKey> OrphanedRuns() const;
+
   /// Returns the number of tasks of other processes that run here.
   std::size_t HostedTaskCount() const { return this->hosted.size(); }
 
@@ -87,6 +95,8 @@
     std::string endpoint;
     std::string task;
     std::uint64_t run = 0;
+    /// Whether the process that placed the task is lost.
+    bool orphaned = false;
   };
   /// Records the holder that refused a task, and its steady clock in
   /// milliseconds when it did.
--- a/src/libs/runs/run_map.cc
+++ b/src/libs/runs/run_map.cc
@@ -17,14 +17,24 @@
   });
 }
 
+template <typename Predicate>
+std::vector<RunKey> Select(const RunMap& runs, Predicate matches) {
+  std::vector<RunKey> selected;
+  for (const auto& [key, run] : runs) {
+    if (matches(run)) selected.push_back(key);
+  }
+  return selected;
+}
+
 }  // namespace
 
 std::vector<RunKey> HeldRuns(const RunMap& runs) {
-  std::vector<RunKey> held;
-  for (const auto& [key, run] : runs) {
-    if (run.state == State::kHeld) held.push_back(key);
-  }
-  return held;
+  return Select(
+      runs, [](const EndpointRun& run) { return run.state == State::kHeld; });
+}
+
+std::vector<RunKey> ForeignRuns(const RunMap& runs) {
+  return Select(runs, [](const EndpointRun& run) { return run.foreign; });
 }
 
 bool HasLease(const RunMap& runs) {
--- a/src/libs/runs/run_map.h
+++ b/src/libs/runs/run_map.h
@@ -21,6 +21,9 @@
 /// Returns the runs whose start order is not sent yet.
 std::vector<RunKey> HeldRuns(const RunMap& runs);
 
+/// Returns the runs that were started by other processes.
+std::vector<RunKey> ForeignRuns(const RunMap& runs);
+
 /// Returns whether a run has a lease that polls renew.
 bool HasLease(const RunMap& runs);
 
--- a/tests/support/hosted_process.cc
+++ b/tests/support/hosted_process.cc
@@ -52,6 +52,8 @@
     this->pool.Reconcile();
   });
   this->cluster.SetCapacityListener([this] { this->jobs.SchedulePlacement(); });
+  this->cluster.SetJobsInProgress(
+      [this] { return this->jobs.JobsInProgress(); });
   this->pool.SetListener([this] { this->jobs.SchedulePlacement(); });
   this->catalog.Start();
   this->cluster.Start();
