--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -76,6 +76,7 @@
   /// Sets the pace at which the learned one began.
   void SetStartPace(double pace) { this->health.SetStartPace(pace); }
   std::size_t RunCount() const { return this->runs.size(); }
+  const RunMap& Runs() const { return this->runs; }
   /// Returns whether orders to the endpoint were lost in the last seconds.
   bool IsLossy() const { return this->failures.IsLossy(); }
 
@@ -139,6 +140,7 @@
   bool CheckIncarnation(std::int64_t reported_start_ms);
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
+  void RecordStop(const RunKey& key, const Run& run, RunOutcome outcome);
   void Settle(const RunKey& key, RunOutcome outcome,
               SettlementEvidence evidence);
   void EndAllAsLost(const char* cause, SettlementEvidence evidence);
