Runs: a placement waits for the report of a holder that is live again

Seen by callers: none known. Cause: a placement whose holder had been lost ended as lost 1.2 s later, also when the same process was live again. By then the holder had confirmed heartbeats, so it did not stop the run by itself, and its stop orders to the endpoint may be lost for longer. Change: the time of the loss is cleared when the same incarnation of the holder is live. The placement ends with the holder's report, or 1.2 s after the next loss. A placement that ends by time is logged (part "remote") and counted (remote.ended_by_time). Simulated endpoints can lose stop orders (stops_lost).

--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -25,11 +25,12 @@
 // Heartbeats sent within this time after a request may not yet include its
 // task.
 constexpr std::uint64_t kHeartbeatSlackMs = 4;
-// Time after the loss of a process by which its runs have ended. If it is dead,
-// the leases at its endpoints end one second after its last order. If it still
-// runs, it gets the stop, or it misses the heartbeats of this process: then it
-// counts this process as lost after at most 800 ms, finds that within another
-// 200 ms, and stops the runs.
+// Time after the loss of a process by which its runs have ended, unless the
+// process is live again. If it is dead, the leases at its endpoints end one
+// second after its last order. If it still runs, it gets the stop, or it stops
+// the runs by itself: its latest heartbeat that this process can have confirmed
+// was sent HeartbeatTimeout() before the loss, and it acts kStopReserve before
+// the end of this time.
 constexpr base::Duration kLostRunsTimeout = milliseconds(1'200);
 constexpr base::Duration kCheckInterval = milliseconds(100);
 // Part of that time which is left to find and to stop the runs.
@@ -62,7 +63,6 @@
   placement.order = order;
   placement.handlers = std::move(handlers);
   if (member == nullptr) {
-    placement.holder_lost = true;
     placement.lost_at = this->clock.Now() - kLostRunsTimeout;
     return id;
   }
@@ -326,32 +326,59 @@
   this->DropSettled();
 }
 
+// Stops the runs of lost holders and ends those that have ended by now. A
+// holder that is live again as the same process reports the end of its runs,
+// however long it takes to stop them.
 void RemoteRuns::CheckHolders() {
   const base::TimePoint now = this->clock.Now();
   std::vector<std::uint64_t> ended;
   for (auto& [id, placement] : this->placements) {
-    const cluster::ClusterBoard::Member* member =
-        this->cluster.Board().FindLive(placement.address);
-    const bool lost = member == nullptr ||
-                      member->announce.incarnation() != placement.incarnation;
     // A connection reset may have lost the stop.
     const bool retry_stop =
         placement.stopping && now - placement.stop_sent >= kStopRetry;
     if (retry_stop) this->SendStop(id, placement);
-    if (!lost && !placement.holder_lost) continue;
-    if (!placement.holder_lost) {
-      placement.holder_lost = true;
+    if (this->IsHolderLive(placement)) {
+      placement.lost_at.reset();
+      continue;
+    }
+    if (!placement.lost_at) {
       placement.lost_at = now;
       // The holder may still run and receive messages; without a stop it would
       // continue the task.
       placement.stopping = true;
       this->SendStop(id, placement);
     }
-    if (now - placement.lost_at >= kLostRunsTimeout) ended.push_back(id);
+    if (now - *placement.lost_at < kLostRunsTimeout) continue;
+    this->LogEndByTime(placement);
+    ended.push_back(id);
   }
   for (const std::uint64_t id : ended) this->End(id, RunOutcome::kLost);
 }
 
+bool RemoteRuns::IsHolderLive(const Placement& placement) const {
+  const cluster::ClusterBoard::Member* member =
+      this->cluster.Board().FindLive(placement.address);
+  return member != nullptr &&
+         member->announce.incarnation() == placement.incarnation;
+}
+
+// Logs a placement that ends without a report. A live holder is another
+// incarnation than the one that has the run.
+void RemoteRuns::LogEndByTime(const Placement& placement) const {
+  const auto& members = this->cluster.Board().members;
+  const auto holder = members.find(placement.address);
+  const bool known = holder != members.end();
+  const base::Duration silence =
+      known ? this->clock.Now() - holder->second.last_heard : base::Duration{0};
+  this->metrics.Count("remote.ended_by_time");
+  kLog.Warning(
+      "Placement at a lost holder counts as ended. task={} run={} endpoint={} "
+      "holder={} incarnation={} known={} silent_ms={} live={}",
+      placement.order.task, placement.order.run, placement.order.endpoint,
+      placement.address, placement.incarnation, known,
+      silence / milliseconds(1), known && holder->second.live);
+}
+
 void RemoteRuns::CheckOrigins() {
   std::vector<Hosted> orphans;
   for (const auto& [key, run] : this->hosted) {
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -79,8 +80,8 @@
     /// is reported.
     bool stopping = false;
     base::TimePoint stop_sent;
-    bool holder_lost = false;
-    base::TimePoint lost_at;
+    /// Time at which the holder was lost; empty while it is live.
+    std::optional<base::TimePoint> lost_at;
   };
   /// Describes a task of another process at an endpoint of this process.
   struct Hosted {
@@ -115,6 +116,8 @@
   void SendPending(std::map<ProcessKey, wire::Envelope> envelopes);
   void End(std::uint64_t placement, RunOutcome outcome);
   void CheckHolders();
+  bool IsHolderLive(const Placement& placement) const;
+  void LogEndByTime(const Placement& placement) const;
   void CheckOrigins();
   bool HasGivenUp(const cluster::ClusterBoard::Member& origin) const;
   void DropSettled();
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -365,6 +365,10 @@
       process_domain, target, process_clock,
       [this, target, task, run, answer](Endpoint& endpoint,
                                         const CallPointer& call) {
+        if (this->faults.stops_lost > 0 &&
+            this->random.Chance(this->faults.stops_lost)) {
+          return;
+        }
         const OrderOutcome admitted = this->Admit(endpoint, target);
         const OrderReply reply = this->ReplyOf(endpoint, admitted);
         this->Log(endpoint,
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -38,6 +38,8 @@
     /// Fraction of orders, from 0 to 1, that are refused with kOverloaded and
     /// have no effect.
     double overloaded = 0;
+    /// Fraction of stop orders, from 0 to 1, that never arrive.
+    double stops_lost = 0;
     /// Orders and answers take up to this time, so that they overtake each
     /// other; 0 for a fixed time.
     base::Duration max_transit{0};
