--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -25,15 +25,20 @@
 // Heartbeats sent within this time after a request may not yet include its
 // task.
 constexpr std::uint64_t kHeartbeatSlackMs = 4;
-// Time after the loss of a process by which its runs have ended. If it is dead,
-// the leases at its endpoints end one second after its last order. If it still
-// runs, it gets the stop, or it misses the heartbeats of this process: then it
-// counts this process as lost after at most 800 ms, finds that within another
-// 200 ms, and stops the runs.
+// Time after the loss of a process by which its runs have ended, unless the
+// process is live again. If it is dead, the leases at its endpoints end one
+// second after its last order. If it still runs, it gets the stop, or it stops
+// the runs by itself: its latest heartbeat that this process can have confirmed
+// was sent HeartbeatTimeout() before the loss, and it acts kStopReserve before
+// the end of this time.
 constexpr base::Duration kLostRunsTimeout = milliseconds(1'200);
 constexpr base::Duration kCheckInterval = milliseconds(100);
-// Part of that time which is left to find and to stop the runs.
-constexpr base::Duration kStopReserve = milliseconds(200);
+// Part of that time which is left to find and to stop the runs. Three stop
+// orders may be lost: kCheckInterval, three retries after 150 ms each and 50 ms
+// for the stop fit, and 100 ms in which the process may be late. The other
+// 500 ms exceed the age of a confirmation between processes that receive each
+// other, which is two heartbeat intervals and the transit times.
+constexpr base::Duration kStopReserve = milliseconds(700);
 // Interval at which a stop is sent again until the end is reported.
 constexpr base::Duration kStopRetry = milliseconds(150);
 
@@ -62,7 +67,6 @@
   placement.order = order;
   placement.handlers = std::move(handlers);
   if (member == nullptr) {
-    placement.holder_lost = true;
     placement.lost_at = this->clock.Now() - kLostRunsTimeout;
     return id;
   }
@@ -342,58 +346,98 @@
   this->DropSettled();
 }
 
+// Stops the runs of lost holders and ends those that have ended by now. A
+// holder that is live again as the same process reports the end of its runs,
+// however long it takes to stop them.
 void RemoteRuns::CheckHolders() {
   const base::TimePoint now = this->clock.Now();
   std::vector<std::uint64_t> ended;
   for (auto& [id, placement] : this->placements) {
-    const cluster::ClusterBoard::Member* member =
-        this->cluster.Board().FindLive(placement.address);
-    const bool lost = member == nullptr ||
-                      member->announce.incarnation() != placement.incarnation;
     // A connection reset may have lost the stop.
     const bool retry_stop =
         placement.stopping && now - placement.stop_sent >= kStopRetry;
     if (retry_stop) this->SendStop(id, placement);
-    if (!lost && !placement.holder_lost) continue;
-    if (!placement.holder_lost) {
-      placement.holder_lost = true;
+    if (this->IsHolderLive(placement)) {
+      placement.lost_at.reset();
+      continue;
+    }
+    if (!placement.lost_at) {
       placement.lost_at = now;
       // The holder may still run and receive messages; without a stop it would
       // continue the task.
       placement.stopping = true;
       this->SendStop(id, placement);
     }
-    if (now - placement.lost_at >= kLostRunsTimeout) ended.push_back(id);
+    if (now - *placement.lost_at < kLostRunsTimeout) continue;
+    this->LogEndByTime(placement);
+    ended.push_back(id);
   }
   for (const std::uint64_t id : ended) this->End(id, RunOutcome::kLost);
 }
 
+bool RemoteRuns::IsHolderLive(const Placement& placement) const {
+  const cluster::ClusterBoard::Member* member =
+      this->cluster.Board().FindLive(placement.address);
+  return member != nullptr &&
+         member->announce.incarnation() == placement.incarnation;
+}
+
+// Logs a placement that ends without a report. A live holder is another
+// incarnation than the one that has the run.
+void RemoteRuns::LogEndByTime(const Placement& placement) const {
+  const auto& members = this->cluster.Board().members;
+  const auto holder = members.find(placement.address);
+  const bool known = holder != members.end();
+  const base::Duration silence =
+      known ? this->clock.Now() - holder->second.last_heard : base::Duration{0};
+  this->metrics.Count("remote.ended_by_time");
+  kLog.Warning(
+      "Placement at a lost holder counts as ended. task={} run={} endpoint={} "
+      "holder={} incarnation={} known={} silent_ms={} live={}",
+      placement.order.task, placement.order.run, placement.order.endpoint,
+      placement.address, placement.incarnation, known,
+      silence / milliseconds(1), known && holder->second.live);
+}
+
 void RemoteRuns::CheckOrigins() {
+  // A stop may end a run at once, which removes it from `hosted`.
   std::vector<Hosted> orphans;
   for (auto& [key, run] : this->hosted) {
+    const char* cause = this->CauseToStop(key);
+    if (cause == nullptr) continue;
+    orphans.push_back(run);
+    if (std::exchange(run.orphaned, true)) continue;
     const cluster::ClusterBoard::Member* origin =
         this->cluster.Board().FindLive(std::get<0>(key));
-    if (origin == nullptr ||
-        origin->announce.incarnation() != std::get<1>(key) ||
-        this->HasGivenUp(*origin)) {
-      run.orphaned = true;
-      orphans.push_back(run);
-    }
+    kLog.Info(
+        "Run of a lost process is stopped. endpoint={} task={} run={} "
+        "origin={} cause=\"{}\" unconfirmed_ms={}",
+        run.endpoint, run.task, run.run, std::get<0>(key), cause,
+        origin == nullptr
+            ? 0
+            : this->cluster.TimeSinceConfirmed(*origin) / milliseconds(1));
   }
   for (const Hosted& run : orphans) {
-    kLog.Info("Run of a lost process is stopped. endpoint={} task={} run={}",
-              run.endpoint, run.task, run.run);
     this->pool.StopTask(run.endpoint, run.task, run.run);
   }
 }
 
-// Returns whether a process that placed tasks here may have counted them as
-// lost by the time they are stopped: it has confirmed no heartbeat for that
-// long. Its own heartbeats may arrive, but may have been sent long ago.
-bool RemoteRuns::HasGivenUp(const cluster::ClusterBoard::Member& origin) const {
-  return this->cluster.TimeSinceConfirmed(origin) >=
-         cluster::HeartbeatSender::HeartbeatTimeout(origin.reported_interval) +
-             kLostRunsTimeout - kStopReserve;
+// Returns why a hosted run has to be stopped, or null while it may go on. A
+// process may have counted its tasks here as lost by the time they are stopped
+// when it has confirmed no heartbeat for that long. Its own heartbeats may
+// arrive, but may have been sent long ago.
+const char* RemoteRuns::CauseToStop(const HostedKey& key) const {
+  const cluster::ClusterBoard::Member* origin =
+      this->cluster.Board().FindLive(std::get<0>(key));
+  if (origin == nullptr) return "its process is lost";
+  if (origin->announce.incarnation() != std::get<1>(key)) {
+    return "its process has restarted";
+  }
+  const base::Duration limit =
+      cluster::HeartbeatSender::HeartbeatTimeout(origin->reported_interval) +
+      kLostRunsTimeout - kStopReserve;
+  if (this->cluster.TimeSinceConfirmed(*origin) < limit) return nullptr;
+  return "its process confirms no heartbeats";
 }
 
 // Forgets decisions on requests that would be refused as late by now.
