Test: jobs sent again in another failure domain while runs are at work

LeasedEndpoints can lose stop orders, and HostedCallers report their attempts.

A copy starts at another coordinator while a run of the earlier submission is at work, and no stop has ended it.

--- a/tests/support/hosted_callers.cc
+++ b/tests/support/hosted_callers.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -33,8 +34,12 @@
 void HostedCallers::Attempt(std::size_t index, const std::string& process) {
   Job& job = this->jobs[index];
   const int attempt = ++job.attempts;
+  const std::string& domain = this->fleet.Process(process).domain;
   if (attempt > 1) ++this->repeats;
+  if (attempt > 1 && domain != job.domain) ++this->repeats_elsewhere;
   job.process = process;
+  job.domain = domain;
+  this->Report(job, "");
   this->fleet.clock.StartTimer(
       job.patience, [this, index, attempt] { this->Leave(index, attempt); });
   const std::uint64_t caller = this->fleet.Process(process).relay.Submit(
@@ -48,6 +53,7 @@
                              const jobs::JobAnswer& answer) {
   Job& job = this->jobs[index];
   if (job.attempts != attempt || job.process.empty()) return;
+  this->Report(job, jobs::NameOf(answer.end));
   job.process.clear();
   switch (answer.end) {
     case JobEnd::kRejected:
@@ -71,6 +77,7 @@
 void HostedCallers::Leave(std::size_t index, int attempt) {
   Job& job = this->jobs[index];
   if (job.attempts != attempt || job.process.empty()) return;
+  this->Report(job, "caller left");
   HostedProcess& process = this->fleet.Process(job.process);
   job.process.clear();
   process.clock.RunFirst([&process, id = job.request.id, caller = job.caller] {
@@ -90,11 +97,23 @@
 void HostedCallers::EndConnections(const std::string& process) {
   for (std::size_t index = 0; index < this->jobs.size(); ++index) {
     if (this->jobs[index].process != process) continue;
+    this->Report(this->jobs[index], "connection lost");
     this->jobs[index].process.clear();
     this->RepeatLater(index);
   }
 }
 
+void HostedCallers::Report(const Job& job, const std::string& end) const {
+  if (!this->listener) return;
+  this->listener({job.request.id, job.attempts, job.process, end});
+}
+
+std::uint64_t HostedCallers::CompleteJobs() const {
+  return static_cast<std::uint64_t>(
+      std::count_if(this->jobs.begin(), this->jobs.end(),
+                    [](const Job& job) { return job.complete; }));
+}
+
 std::vector<std::string> HostedCallers::WrongAnswers() const {
   std::vector<std::string> wrong;
   for (const Job& job : this->jobs) {
--- a/tests/support/hosted_callers.h
+++ b/tests/support/hosted_callers.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/job_answer.h"
@@ -35,6 +36,27 @@
 
   std::uint64_t Repeats() const { return this->repeats; }
 
+  /// Number of repeats at a process of another failure domain than that of the
+  /// attempt before.
+  std::uint64_t RepeatsElsewhere() const { return this->repeats_elsewhere; }
+
+  std::uint64_t Jobs() const { return this->jobs.size(); }
+  /// Number of jobs that were answered as complete.
+  std::uint64_t CompleteJobs() const;
+
+  /// Describes the begin or the end of an attempt.
+  struct Event {
+    std::string job;
+    int attempt = 0;
+    std::string process;
+    /// How the attempt ended, or empty when it begins.
+    std::string end;
+  };
+  using EventListener = std::function<void(const Event&)>;
+  void SetListener(EventListener new_listener) {
+    this->listener = std::move(new_listener);
+  }
+
  private:
   struct Job {
     jobs::JobRequest request;
@@ -42,6 +64,8 @@
     int attempts = 0;
     /// Process of the attempt without an answer so far, or empty.
     std::string process;
+    /// Failure domain of the latest attempt.
+    std::string domain;
     /// Number of the caller at `process`.
     std::uint64_t caller = 0;
     int refusals = 0;
@@ -52,11 +76,14 @@
   void OnAnswer(std::size_t index, int attempt, const jobs::JobAnswer& answer);
   void Leave(std::size_t index, int attempt);
   void RepeatLater(std::size_t index);
+  void Report(const Job& job, const std::string& end) const;
 
   HostedFleet& fleet;
   ProcessChooser choose_process;
   std::vector<Job> jobs;
+  EventListener listener;
   std::uint64_t repeats = 0;
+  std::uint64_t repeats_elsewhere = 0;
 };
 
 }  // namespace hawthornwheel::testing
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -361,10 +361,13 @@
   const auto answer = [answered, done](const OrderReply& reply) {
     if (!std::exchange(*answered, true)) done(reply);
   };
+  const bool lost = this->faults.stops_lost > 0 &&
+                    this->random.Chance(this->faults.stops_lost);
   this->Send(
       process_domain, target, process_clock,
-      [this, target, task, run, answer](Endpoint& endpoint,
-                                        const CallPointer& call) {
+      [this, target, task, run, lost, answer](Endpoint& endpoint,
+                                              const CallPointer& call) {
+        if (lost) return;
         const OrderOutcome admitted = this->Admit(endpoint, target);
         const OrderReply reply = this->ReplyOf(endpoint, admitted);
         this->Log(endpoint,
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -35,6 +35,8 @@
     /// without an answer. Half of them are carried out, before or after their
     /// sender notices the end.
     double connection_ends = 0;
+    /// Fraction of stop orders, from 0 to 1, that never arrive.
+    double stops_lost = 0;
     /// Fraction of orders, from 0 to 1, that are refused with kOverloaded and
     /// have no effect.
     double overloaded = 0;
