--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -764,8 +764,8 @@
   if (!run.stop_requested) return;
   const base::Duration stop_time =
       this->parts.clock.Now() - *run.stop_requested;
-  this->parts.metrics.Observe(
-      "runs.stop_ms", static_cast<double>(stop_time / milliseconds(1)));
+  this->parts.metrics.Observe("runs.stop_ms",
+                              static_cast<double>(stop_time / milliseconds(1)));
   if (stop_time < kLateStop) return;
   this->parts.metrics.Count("runs.late_stops");
   kLog.Info(
