Cluster: the report of jobs in progress outlasts a restart of its process

Cause: the first heartbeat of a new incarnation dropped the report of the process that had the address before, though its endpoint was not claimed yet and the lease of its runs went on. Besides, the report of a live process that sends one heartbeat a second lapsed after 1.5 s. The list was computed for each receiver of a heartbeat. Change: a report has the time at which it came. That of a live process counts, that of a lost one and that of the previous process at an address for 1.5 s. The list is computed once for all receivers. In the tests of copies the other run keeps the lease renewed to their end, the run of the first submission is checked to be at work when the copy arrives, and the copy at the holder gets no report.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 #include "cluster/coordinator.h"
 #include "cluster/held_endpoint.h"
-#include "cluster/job_runs.h"
+#include "cluster/job_report.h"
 #include "wire/peer.pb.h"
 
 namespace hawthornwheel::cluster {
@@ -27,9 +27,10 @@
     /// processes it sends some with free resources, and those of domains other
     /// than its own.
     std::map<std::string, HeldEndpoint> held;
-    /// Jobs with runs in progress in its last full heartbeat, with their
-    /// highest run number, by job id.
-    JobRuns jobs_in_progress;
+    /// Jobs with runs in progress in its last full heartbeat.
+    JobReport job_report;
+    /// Last report of the process that had its address before.
+    JobReport previous_job_report;
     base::TimePoint first_known;
     base::TimePoint last_heard;
     /// Whether its heartbeats arrive in time.
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -41,10 +41,9 @@
 // counts as gone. Covers the time to detect the loss, one write and one read of
 // the presence record, and a margin.
 constexpr base::Duration kGoneAfter = milliseconds(1'500);
-// Time after the last heartbeat of a process for which its report of jobs in
-// progress counts. By then the holders of the endpoints have counted it as lost
-// (0.8 to 1 s) and report the runs that go on, or the leases have expired (1
-// s).
+// Time for which the last report of a lost process counts. By then the holders
+// of the endpoints have missed four of its heartbeats and report the runs that
+// go on, or the leases of one second have expired.
 constexpr base::Duration kJobReportValidity = milliseconds(1'500);
 constexpr base::Duration kAnnounceRetry = milliseconds(700);
 
@@ -160,10 +159,13 @@
   JobRuns jobs;
   const base::TimePoint now = this->parts.clock.Now();
   for (const auto& [address, member] : this->board.members) {
-    if (member.jobs_in_progress.empty()) continue;
-    if (now - member.last_heard > kJobReportValidity) continue;
-    for (const auto& [id, last_run] : member.jobs_in_progress) {
-      AddRun(jobs, id, last_run);
+    const JobReport& previous = member.previous_job_report;
+    const JobReport& latest = member.job_report;
+    if (now - previous.received <= kJobReportValidity) {
+      AddRuns(jobs, previous.jobs);
+    }
+    if (member.live || now - latest.received <= kJobReportValidity) {
+      AddRuns(jobs, latest.jobs);
     }
   }
   return jobs;
@@ -520,7 +522,7 @@
   }
   if (!same_process) {
     member.held.clear();
-    member.jobs_in_progress.clear();
+    member.previous_job_report = std::exchange(member.job_report, {});
     member.confirmed_steady_ms = 0;
     member.confirmed_since_steady_ms = 0;
   }
@@ -538,7 +540,9 @@
   // A member of another domain reports different endpoints each time. Claims of
   // endpoints there wait for the next periodic check.
   if (holds_others && this->board.IsSameDomain(member)) changed = true;
-  if (!heartbeat.partial()) member.jobs_in_progress = JobsOf(heartbeat);
+  if (!heartbeat.partial()) {
+    member.job_report = {JobsOf(heartbeat), this->parts.clock.Now()};
+  }
   member.last = heartbeat;
   member.last.clear_held();
   member.last.clear_jobs_in_progress();
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -76,6 +76,7 @@
 
 void HeartbeatSender::Tick() {
   ++this->ticks;
+  this->RefreshJobs();
   const base::TimePoint now = this->clock.Now();
   for (auto& [address, member] : this->board.members) {
     if (member.unrelated) continue;
@@ -88,6 +89,7 @@
 }
 
 void HeartbeatSender::SendToAll() {
+  this->RefreshJobs();
   for (auto& [address, member] : this->board.members) {
     this->SendTo(address, member, this->DetailFor(member));
   }
@@ -96,6 +98,7 @@
 void HeartbeatSender::SendNow(const std::string& address) {
   const auto member = this->board.members.find(address);
   if (member == this->board.members.end()) return;
+  this->RefreshJobs();
   this->SendTo(address, member->second, this->DetailFor(member->second));
 }
 
@@ -124,9 +127,12 @@
   this->hooks.send(address, std::move(envelope));
 }
 
+void HeartbeatSender::RefreshJobs() {
+  if (this->jobs_in_progress) this->reported_jobs = this->jobs_in_progress();
+}
+
 void HeartbeatSender::WriteJobs(wire::MemberHeartbeat& heartbeat) const {
-  if (!this->jobs_in_progress) return;
-  for (const auto& [id, last_run] : this->jobs_in_progress()) {
+  for (const auto& [id, last_run] : this->reported_jobs) {
     wire::JobInProgress& job = *heartbeat.add_jobs_in_progress();
     job.set_id(id);
     job.set_last_run(last_run);
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -83,6 +83,7 @@
   Detail DetailFor(const ClusterBoard::Member& member) const;
   void SendTo(const std::string& address, ClusterBoard::Member& member,
               Detail detail);
+  void RefreshJobs();
   void WriteJobs(wire::MemberHeartbeat& heartbeat) const;
   void SendUpdate(bool announce_waiting);
   bool IsUpdateTarget(const ClusterBoard::Member& member) const;
@@ -93,6 +94,8 @@
   Hooks hooks;
   HeldEndpointWriter held_writer;
   JobsInProgress jobs_in_progress;
+  /// Jobs that the heartbeats of the present tick report.
+  JobRuns reported_jobs;
   base::Timer update_timer;
   /// Whether the scheduled update uses the short delay.
   bool update_urgent = false;
--- a/src/libs/cluster/job_runs.h
+++ b/src/libs/cluster/job_runs.h
@@ -15,4 +15,9 @@
   if (last_run < run) last_run = run;
 }
 
+/// Adds all runs of `others`.
+inline void AddRuns(JobRuns& jobs, const JobRuns& others) {
+  for (const auto& [job, run] : others) AddRun(jobs, job, run);
+}
+
 }  // namespace hawthornwheel::cluster
--- a/tests/jobs/copied_job_test.cc
+++ b/tests/jobs/copied_job_test.cc
@@ -28,7 +28,7 @@
 class CopiedJobTest : public ::testing::Test {
  protected:
   void SetUp() override {
-    this->fleet.Publish("1 /a/:1 /l/:1:20000");
+    this->fleet.Publish("1 /a/:1 /l/:1:60000");
     for (const char* domain : {"north", "south"}) {
       this->fleet.AddEndpoint(std::string(domain) + "-e0", domain, 64'000);
       for (int i = 0; i < 2; ++i) {
@@ -107,6 +107,7 @@
   this->LoseStops(true);
   this->SubmitAndAbandon(this->NorthProcess(false), job);
   this->fleet.Run(kRepeatDelay);
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
   this->Submit("south0", job);
   this->fleet.Run(seconds(1));
   EXPECT_EQ(this->StartsOf(job), 1U);
@@ -130,19 +131,28 @@
   this->fleet.Run(milliseconds(50));
   this->fleet.Kill(coordinator);
   this->fleet.Run(kRepeatDelay);
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
   this->Submit("south0", job);
   this->fleet.Run(seconds(1));
   EXPECT_EQ(this->StartsOf(job), 1U);
 }
 
 // Guards against TWICE (issue 38): the holder of the run got the copy, and
-// placed it at an endpoint of another process.
+// placed it at an endpoint of another process. Messages of the coordinator do
+// not reach the holder, which therefore has no report.
 TEST_F(CopiedJobTest, CopyAtHolderOfEndpointWaitsForRunOfOtherCoordinator) {
   const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  const std::string coordinator = this->NorthProcess(false);
+  const std::string holder = this->NorthProcess(true);
   this->LoseStops(true);
-  this->SubmitAndAbandon(this->NorthProcess(false), job);
+  const std::uint64_t caller = this->Submit(coordinator, job);
+  this->fleet.Run(milliseconds(50));
+  this->fleet.network.Cut(coordinator, holder);
+  this->fleet.Process(coordinator).relay.Abandon(job.id, caller);
+  this->answer.reset();
   this->fleet.Run(kRepeatDelay);
-  this->Submit(this->NorthProcess(true), job);
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+  this->Submit(holder, job);
   this->fleet.Run(seconds(1));
   EXPECT_EQ(this->StartsOf(job), 1U);
 }
@@ -160,5 +170,23 @@
   EXPECT_GT(this->fleet.endpoints.DoneOf(job.payload), 0U);
 }
 
+// Guards against TWICE (issue 38): the report of a coordinator was dropped when
+// it restarted, before the new holder of its endpoint had found the run.
+TEST_F(CopiedJobTest, ReportOutlastsRestartOfCoordinator) {
+  const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  const std::string holder = this->NorthProcess(true);
+  this->LoseStops(true);
+  this->SubmitAndAbandon(holder, job);
+  this->fleet.Run(milliseconds(500));
+  this->fleet.Kill(holder);
+  this->fleet.Run(milliseconds(650));
+  this->fleet.AddProcess(holder, "north");
+  this->fleet.Run(kRepeatDelay - milliseconds(1'150));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+  this->Submit("south0", job);
+  this->fleet.Run(milliseconds(300));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
