Jobs: open jobs are reported also while none of their tasks is placed

Cause: only jobs with placed tasks were reported. An open submission that found no free endpoint was placed at the same moment as its copy in another domain. A copy that was placed after it had waited was not reported in its first 0.9 s, and one that no placement pass reached was answered as not run. Evidence: CopiedJobTest.CopyWaitsForOpenSubmissionThatIsPlacedLate failed on (run 1 in south and run 2 in north), and passes. Change: open jobs are reported from an age of 0.9 s on whatever their tasks do. Copies are reported as soon as they are placed; those that only wait are not, so that they do not make each other wait. A job looks for runs of others when it arrives, not only when a pass reaches it.

--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -25,7 +25,7 @@
 // after its answer.
 constexpr base::Duration kAnswerRetention = seconds(10);
 constexpr base::Duration kExpiryInterval = seconds(1);
-// Age from which a job with runs in progress is reported to other processes.
+// Age from which an open job is reported to other processes.
 // Its caller may have lost the connection at once without this process knowing,
 // and submits the job again after 1.3 s. Two reports fit into the rest.
 constexpr base::Duration kCopyNotice = milliseconds(900);
@@ -171,6 +171,7 @@
   job->SetTimes(this->clock.Now());
   this->metrics.Count("jobs.submitted");
   this->jobs[job->request.id] = job;
+  this->WaitForRunsOfOthers(*job, this->placer.RunsOfOthers());
   this->ArmTimer(*job);
   this->SchedulePlacement();
 }
@@ -199,7 +200,7 @@
   this->wait.BeginPass(this->clock.Now());
   bool tasks_waiting = false;
   for (const JobPointer& job : waiting_jobs) {
-    if (this->AwaitsRunsOfOthers(*job, runs_of_others)) {
+    if (this->WaitForRunsOfOthers(*job, runs_of_others)) {
       this->RetryPlacement();
       continue;
     }
@@ -309,11 +310,12 @@
   this->metrics.Observe("jobs.run_time_error", std::abs(error));
 }
 
-// Returns whether runs of the job that this process has not placed are in
-// progress, since an earlier submission of the job went to another process. The
-// tasks then get higher run numbers, which the endpoints do not refuse.
-bool JobCoordinator::AwaitsRunsOfOthers(Job& job,
-                                        const cluster::JobRuns& others) {
+// Makes the job wait while runs of it are in progress that this process has not
+// placed, since an earlier submission of the job went to another process. Its
+// tasks get higher run numbers, which the endpoints do not refuse. Returns
+// whether the job waits.
+bool JobCoordinator::WaitForRunsOfOthers(Job& job,
+                                         const cluster::JobRuns& others) {
   const auto found = others.find(job.request.id);
   if (found == others.end()) return false;
   for (Job::Task& task : job.tasks) {
@@ -652,9 +654,12 @@
   }
   const base::TimePoint now = this->clock.Now();
   for (const auto& [id, job] : this->jobs) {
-    if (job->placed_tasks == 0) continue;
-    if (now - job->arrival < kCopyNotice && job->IsAwaited()) continue;
-    cluster::AddRun(in_progress, id, job->LastRun());
+    // Copies that have only waited so far do not make each other wait.
+    const bool is_reported =
+        job->awaits_other_runs
+            ? job->MayHaveRun()
+            : now - job->arrival >= kCopyNotice || !job->IsAwaited();
+    if (is_reported) cluster::AddRun(in_progress, id, job->LastRun());
   }
   return in_progress;
 }
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -77,10 +77,9 @@
   /// Returns the value of the capacity that is known at present, by kind.
   std::vector<CapacityValue::Kind> CapacityByKind() const;
 
-  /// Returns the jobs with runs in progress that a copy at another process has
-  /// to wait for: runs of ended jobs that are being stopped, runs of open jobs
-  /// whose callers may soon submit them again, and orphaned runs at endpoints
-  /// of this process.
+  /// Returns the jobs that a copy at another process has to wait for: ended
+  /// jobs whose runs are being stopped, open jobs whose callers may soon submit
+  /// them again, and jobs with orphaned runs at endpoints of this process.
   cluster::JobRuns JobsInProgress() const;
 
   /// Returns the number of jobs in flight.
@@ -119,7 +118,7 @@
   bool JoinOrReject(const std::string& id, Job::Caller& caller);
   void Begin(JobRequest request, const catalog::Route& route,
              std::uint64_t version, Job::Caller caller);
-  bool AwaitsRunsOfOthers(Job& job, const cluster::JobRuns& others);
+  bool WaitForRunsOfOthers(Job& job, const cluster::JobRuns& others);
   Placement PlaceTasks(Job& job, std::vector<Candidate>& candidates);
   PlacementWait::Decision ChooseFor(const Job& job, Job::Task& task,
                                     const std::set<std::string>& refused,
--- a/tests/jobs/copied_job_test.cc
+++ b/tests/jobs/copied_job_test.cc
@@ -20,6 +20,7 @@
 constexpr char kPath[] = "/a/";
 constexpr char kLongTimeoutPath[] = "/l/";
 constexpr char kNorthEndpoint[] = "north-e0";
+constexpr char kSouthEndpoint[] = "south-e0";
 // Time after which a caller without a final answer sends its job again.
 constexpr base::Duration kRepeatDelay = milliseconds(1'300);
 
@@ -188,5 +189,26 @@
   EXPECT_EQ(this->StartsOf(job), 1U);
 }
 
+// Guards against TWICE (issue 38): an open submission that found no free
+// endpoint was not reported, and was placed just after its copy.
+TEST_F(CopiedJobTest, CopyWaitsForOpenSubmissionThatIsPlacedLate) {
+  this->fleet.Run(milliseconds(15'500));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 0U);
+  this->fleet.Submit("north0", kLongTimeoutPath, 9, milliseconds(1'440));
+  this->fleet.Submit("south0", kLongTimeoutPath, 9, milliseconds(1'440));
+  this->fleet.Run(milliseconds(100));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 9U);
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kSouthEndpoint), 9U);
+  const jobs::JobRequest job = this->fleet.NewRequest(
+      kLongTimeoutPath, 1, seconds(2), seconds(6), RunEndKind::kDone);
+  this->Submit("north0", job);
+  this->fleet.Run(milliseconds(1'310));
+  ASSERT_EQ(this->StartsOf(job), 0U);
+  ASSERT_FALSE(this->answer.has_value());
+  this->Submit("south0", job);
+  this->fleet.Run(seconds(1));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
