Node: a leaving process reports the runs that it stops last

Cause: a process whose drain time is up answers its open jobs, stops their runs, and ends at its next check, possibly before its next heartbeat. Copies of these jobs then relied on the lease of their runs alone, which ends 0.1 to 0.3 s before they arrive. Change: it sends its heartbeats at once after the answers. No test: the order of two calls in the program's shutdown; the soak stops processes.

--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -78,6 +78,9 @@
   /// of the domain's endpoints.
   void SetWeight(std::uint32_t weight);
 
+  /// Sends a heartbeat to all members now.
+  void SendHeartbeats() { this->sender.SendToAll(); }
+
   /// Announces to all members that this process is leaving.
   void Leave();
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -145,6 +145,9 @@
       // process stops at a later check.
       this->relay.InterruptAll();
       this->jobs.InterruptAll();
+      // Reports the runs that are being stopped, since copies of their jobs may
+      // arrive when this process has ended.
+      this->cluster.SendHeartbeats();
       return;
     }
     this->drain_timer.Stop();
