Soak: runs longer than declared, lost and late stops, copies of jobs counted

Cause: the longest run lasted 900 ms, exactly as declared, and callers send a job again 1.3 s after a 502, so the runs of an answered job were over before its copy began. Stops were neither lost nor late for longer than a few seconds.

Change: until the faults end, 0.15 of the jobs have run times with a log-normal error of the declared one, up to 6.9 s, and 0.02 keep runs at the endpoints for 8 s. In phases of 2 to 20 s, the answers to a share of the starts are lost, and a share of the stops is lost or carried out late. A share of the callers loses its connection. The check for tasks done more often than the job has tasks allows one more time for each copy of a job with varying run times, since it starts from the beginning; it is unchanged for all other jobs.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -35,6 +35,13 @@
 constexpr double kOutageShare = 0.25;
 constexpr base::Duration kMinOutage = milliseconds(5'000);
 constexpr base::Duration kMaxOutage = milliseconds(9'000);
+// Time between two phases of faults of single orders, and their duration.
+constexpr base::Duration kMinOrderPhaseInterval = milliseconds(500);
+constexpr base::Duration kMaxOrderPhaseInterval = milliseconds(4'000);
+constexpr base::Duration kMinOrderPhase = milliseconds(2'000);
+constexpr base::Duration kMaxOrderPhase = milliseconds(20'000);
+// Maximum share of the orders that one of these faults affects.
+constexpr double kMaxOrderFaultShare = 0.5;
 // Wall clocks of processes are ahead or behind by up to this value.
 constexpr int kMaxWallOffsetMs = 5'000;
 
@@ -52,6 +59,8 @@
       series_timer(environment.clock),
       cut_random(environment.options.seed),
       cut_timer(environment.clock),
+      order_random(environment.options.seed),
+      order_timer(environment.clock),
       process_check_timer(environment.clock) {}
 
 void FaultPlan::Start() {
@@ -61,6 +70,7 @@
   this->ScheduleNext();
   this->ScheduleSeries();
   this->ScheduleCuts();
+  this->ScheduleOrderPhase();
 }
 
 void FaultPlan::RecordFault(const std::string& description) {
@@ -292,12 +302,13 @@
       return;
     case 2: {
       this->RecordFault("delay orders or drop their answers");
-      testing::LeasedEndpoints::Faults order_faults;
-      order_faults.late = 0.05;
-      order_faults.answer_lost = 0.05;
-      this->environment.leased_endpoints.SetFaults(order_faults);
+      this->order_faults.late = 0.05;
+      this->order_faults.answer_lost = 0.05;
+      this->environment.leased_endpoints.SetFaults(this->order_faults);
       this->environment.clock.StartTimer(this->RandomDuration(), [this] {
-        this->environment.leased_endpoints.SetFaults({});
+        this->order_faults.late = 0;
+        this->order_faults.answer_lost = 0;
+        this->environment.leased_endpoints.SetFaults(this->order_faults);
       });
       return;
     }
@@ -307,6 +318,37 @@
   }
 }
 
+void FaultPlan::ScheduleOrderPhase() {
+  this->order_timer.StartOnce(
+      this->order_random.Between(kMinOrderPhaseInterval,
+                                 kMaxOrderPhaseInterval),
+      [this] { this->BeginOrderPhase(); });
+}
+
+void FaultPlan::BeginOrderPhase() {
+  const auto share = [this] {
+    return this->order_random.UniformFraction() * kMaxOrderFaultShare;
+  };
+  this->order_faults.start_answer_lost = share();
+  this->order_faults.stop_lost = share();
+  this->order_faults.stop_late = share();
+  this->environment.leased_endpoints.SetFaults(this->order_faults);
+  const base::Duration duration =
+      this->order_random.Between(kMinOrderPhase, kMaxOrderPhase);
+  this->RecordFault(fmt::format(
+      "orders: {:.2f} of the answers to starts lost, {:.2f} of the stops lost, "
+      "{:.2f} of the others late, for {} ms",
+      this->order_faults.start_answer_lost, this->order_faults.stop_lost,
+      this->order_faults.stop_late, duration / milliseconds(1)));
+  this->order_timer.StartOnce(duration, [this] {
+    this->order_faults.start_answer_lost = 0;
+    this->order_faults.stop_lost = 0;
+    this->order_faults.stop_late = 0;
+    this->environment.leased_endpoints.SetFaults(this->order_faults);
+    this->ScheduleOrderPhase();
+  });
+}
+
 void FaultPlan::InjectStoreFault() {
   switch (this->environment.random.Below(4)) {
     case 0:
@@ -342,6 +384,8 @@
   this->timer.Stop();
   this->series_timer.Stop();
   this->cut_timer.Stop();
+  this->order_timer.Stop();
+  this->order_faults = {};
   this->environment.store.SetDown("", false);
   this->environment.leased_endpoints.SetFaults({});
   for (const auto& member : this->environment.members) {
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -51,6 +51,10 @@
   void TakeStoreDown(base::Duration duration);
   void Pause(SoakMember& member, base::Duration duration);
   void InjectEndpointFault();
+  void ScheduleOrderPhase();
+  /// Loses or delays a share of the stop orders and loses the answers to a
+  /// share of the start orders, for several seconds.
+  void BeginOrderPhase();
   void InjectStoreFault();
   void CheckProcesses();
   void RecordFault(const std::string& description);
@@ -66,6 +70,10 @@
   base::Timer series_timer;
   testing::Random cut_random;
   base::Timer cut_timer;
+  testing::Random order_random;
+  base::Timer order_timer;
+  /// Faults of orders that are in force.
+  testing::LeasedEndpoints::Faults order_faults;
   base::Timer process_check_timer;
   bool active = true;
   /// End of the outages of the store that have begun.
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -28,6 +28,9 @@
           "Number of entries, which hand over their jobs to a coordinator.");
 ABSL_FLAG(int, endpoints, 12, "Number of endpoints.");
 ABSL_FLAG(double, rate, 7, "Jobs per second.");
+ABSL_FLAG(double, long_share, 0.15,
+          "Share of the jobs that may run for much longer than declared and "
+          "than their callers wait, until the faults end.");
 ABSL_FLAG(bool, faults, true, "Whether faults are injected.");
 ABSL_FLAG(bool, proxy_host, false,
           "Used by the soak itself: forwards connections for it.");
@@ -48,6 +51,7 @@
   options.entries = absl::GetFlag(FLAGS_entries);
   options.endpoints = absl::GetFlag(FLAGS_endpoints);
   options.jobs_per_second = absl::GetFlag(FLAGS_rate);
+  options.long_share = absl::GetFlag(FLAGS_long_share);
   options.fault_duration = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
   options.faults = absl::GetFlag(FLAGS_faults);
   return options;
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,7 +22,8 @@
   /// Starts to submit jobs at random intervals.
   void Start();
 
-  /// Reduces the submission rate, so that load alone causes no refusals.
+  /// Reduces the submission rate, so that load alone causes no refusals, and
+  /// submits no more jobs that may run for longer than declared.
   void ReduceRate();
 
   /// Stops submitting new jobs; resends go on.
@@ -42,13 +44,28 @@
   /// `done` receives a description of every wrong answer.
   void CheckRoutes(std::function<void(std::vector<std::string>)> done);
 
-  /// Returns the number of jobs and of answers by HTTP status; status 0 stands
-  /// for no answer.
+  /// Returns the number of jobs, of answers by HTTP status (0 stands for no
+  /// answer), and of what the copies of jobs have met, as `key=value` pairs.
   std::string Summary() const;
 
  private:
+  /// Jobs of one kind, with the run time that they declare.
+  struct JobKind {
+    const char* prefix;
+    int tasks;
+    int run_ms;
+    int cpu_milli;
+    base::Duration deadline;
+    /// Whether the run time differs from the declared one.
+    bool varies;
+  };
+  static const JobKind kJobKinds[];
+  static const JobKind kLongKind;
+  static const JobKind kResidentKind;
+
   struct Job {
     std::string id;
+    const JobKind* kind = nullptr;
     int tasks = 0;
     std::string body;
     std::string prefix;
@@ -56,6 +73,13 @@
     bool fails = false;
     base::TimePoint sent_at;
     int sends = 0;
+    /// Number of the send whose answer the caller waits for; 0 for none.
+    int awaited_send = 0;
+    /// Failure domain of the process that got the latest send.
+    std::string domain;
+    std::vector<base::TimePoint> sent_times;
+    /// Times of all answers, also of those that the caller does not wait for.
+    std::vector<base::TimePoint> answer_times;
     /// HTTP status of the latest answer; 0 for none.
     int last_status = 0;
     /// Set after an outcome other than success or refusal, which leaves open
@@ -65,8 +89,22 @@
   };
 
   void SubmitNext();
+  const JobKind& RandomKind();
+  /// Returns the run time of a new job at an endpoint of normal speed.
+  base::Duration RandomRunTime(const JobKind& kind);
   void Send(std::size_t job);
-  void OnAnswer(std::size_t job, const base::Result<http::HttpReply>& reply);
+  /// Lets the caller lose its connection in a share of the sends.
+  void ScheduleConnectionLoss(std::size_t job, http::HttpCall& call);
+  void OnAnswer(std::size_t job, int send,
+                const base::Result<http::HttpReply>& reply);
+  /// Sends the job again later, if the caller does so.
+  void OnUnknownOutcome(std::size_t job);
+  void OnRunEnd(const std::string& id, base::TimePoint started,
+                runs::RunEndKind kind);
+  void Log(const Job& job, int send, const std::string& event);
+  /// Returns the number of tasks that had two runs at work at a time, the later
+  /// one started after the job had been sent again.
+  std::size_t OverlapsOfCopies() const;
 
   SoakEnvironment& environment;
   http::AsyncHttpClient http;
@@ -76,6 +114,21 @@
   std::map<int, int> statuses;
   std::size_t open_requests = 0;
   double jobs_per_second;
+  /// Apart from the other random numbers, so that the jobs of a seed stay as
+  /// they were when it was recorded.
+  testing::Random long_random;
+  bool submits_long_jobs = true;
+  /// What the callers have sent and received.
+  std::ofstream log;
+  std::map<std::string, std::size_t> jobs_by_id;
+  int copies = 0;
+  int copies_to_other_domain = 0;
+  int lost_connections = 0;
+  /// Number of runs that were stopped later than these times after the answer
+  /// to their job, and of runs that ended in another way later than the second.
+  int stopped_after_300_ms = 0;
+  int stopped_after_1300_ms = 0;
+  int ended_after_1300_ms = 0;
   /// Descriptions of answers that reported a job as complete too early.
   std::vector<std::string> incomplete_answers;
 };
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -20,6 +20,10 @@
 constexpr double kCoordinatorCpuShare = 0.5;
 constexpr double kEntryCpuShare = 0.09;
 
+constexpr int kRouteTimeoutMs = 1'500;
+// Above the time for which callers wait.
+constexpr int kNoTimeoutMs = 60'000;
+
 // Below the ephemeral port range of the kernel: a process binds its ports again
 // after a restart, so no outgoing connection may have taken them.
 constexpr int kFirstPort = 12'000;
@@ -75,13 +79,13 @@
 
 std::string FreeAddress() { return fmt::format("127.0.0.1:{}", FreePort()); }
 
-std::string RouteJson(const char* name, const std::string& prefix,
-                      int priority) {
+std::string RouteJson(const char* name, const std::string& prefix, int priority,
+                      int timeout_ms = kRouteTimeoutMs) {
   return fmt::format(
       R"({{"name":"{}","host":"h","prefix":"{}","service":"booking",)"
       R"("priority":{},"attempts":4,"stretch":1.6,"sloMs":60,)"
-      R"("timeoutMs":1500}})",
-      name, prefix, priority);
+      R"("timeoutMs":{}}})",
+      name, prefix, priority, timeout_ms);
 }
 
 }  // namespace
@@ -150,7 +154,9 @@
   ++this->version;
   const std::string routes = RouteJson("normal", "/a/", 1) + "," +
                              RouteJson("urgent", "/u/", 0) + "," +
-                             RouteJson("newest", this->NewestPrefix(), 2);
+                             RouteJson("newest", this->NewestPrefix(), 2) +
+                             "," + RouteJson("long", "/l/", 1) + "," +
+                             RouteJson("resident", "/r/", 1, kNoTimeoutMs);
   this->store.Write(
       catalog::Topic::kConfiguration, "config",
       fmt::format(R"({{"version":{},"routes":[{}],"services":[]}})",
--- a/soak/soak_options.h
+++ b/soak/soak_options.h
@@ -21,6 +21,9 @@
   int entries = 3;
   int endpoints = 12;
   double jobs_per_second = 7;
+  /// Fraction of the jobs, from 0 to 1, whose tasks may run for much longer
+  /// than declared and than their callers wait.
+  double long_share = 0;
   /// How long faults are injected; a fault-free phase follows.
   base::Duration fault_duration{0};
   /// Whether faults are injected.
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -31,6 +31,15 @@
     base::Duration max_delay{12'000'000};
     /// Fraction of orders, from 0 to 1, that are carried out without an answer.
     double answer_lost = 0;
+    /// Fraction of start orders, from 0 to 1, that are carried out without an
+    /// answer, besides those of `answer_lost`.
+    double start_answer_lost = 0;
+    /// Fraction of stop orders, from 0 to 1, that have no effect and no answer.
+    double stop_lost = 0;
+    /// Fraction of the other stop orders, from 0 to 1, that are carried out up
+    /// to `max_stop_delay` late, without an answer.
+    double stop_late = 0;
+    base::Duration max_stop_delay{4'000'000};
     /// Fraction of orders, from 0 to 1, whose connection ends within 2 ms
     /// without an answer. Half of them are carried out, before or after their
     /// sender notices the end.
@@ -135,6 +144,25 @@
     this->start_listener = std::move(on_start);
   }
 
+  /// Receives the end of each run that a restart of its endpoint did not end.
+  using EndListener =
+      std::function<void(const std::string& payload, base::TimePoint started,
+                         runs::RunEndKind kind)>;
+  void SetEndListener(EndListener on_end) {
+    this->end_listener = std::move(on_end);
+  }
+
+  /// Two runs of a task that were at work at the same time.
+  struct Overlap {
+    std::string payload;
+    base::TimePoint first_started;
+    base::TimePoint second_started;
+  };
+  const std::vector<Overlap>& Overlaps() const { return this->overlaps; }
+
+  /// Number of starts that were carried out and whose answer a fault dropped.
+  std::uint64_t UnansweredStarts() const { return this->unanswered_starts; }
+
   /// Descriptions of all violations so far.
   const std::vector<std::string>& Violations() const {
     return this->violations;
@@ -255,6 +283,15 @@
   runs::OrderOutcome Admit(Endpoint& endpoint, const runs::OrderTarget& target);
   runs::OrderReply HandleStart(Endpoint& endpoint,
                                const runs::StartOrder& order);
+  /// Carries out a stop order.
+  runs::OrderReply HandleStop(Endpoint& endpoint,
+                              const runs::OrderTarget& target,
+                              const std::string& task, std::uint64_t run);
+  /// Returns whether a fault with this probability occurs. Draws a random
+  /// number only for faults that are on.
+  bool Occurs(double probability) {
+    return probability > 0 && this->random.Chance(probability);
+  }
   /// Ends a run and answers the waiting polls. Takes the key by value, because
   /// callers pass a reference into the map entry that is erased.
   void End(Endpoint& endpoint, RunKey key, runs::RunEndKind kind);
@@ -279,6 +316,9 @@
   std::vector<std::string> violations;
   std::function<void(const std::string&)> log;
   StartListener start_listener;
+  EndListener end_listener;
+  std::vector<Overlap> overlaps;
+  std::uint64_t unanswered_starts = 0;
   std::uint64_t starts = 0;
   std::map<std::string, std::uint64_t> starts_of;
   std::map<std::string, std::uint64_t> done_of;
