Soak: most stops fail in some phases, callers lose connections early

Cause: a stop is sent again every 150 ms.

Change: up to 95% of the stops are lost, and as many of the others late. Callers lose connections within 0.6 s, so that a job can be sent again before its deadline.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -40,8 +40,11 @@
 constexpr base::Duration kMaxOrderPhaseInterval = milliseconds(4'000);
 constexpr base::Duration kMinOrderPhase = milliseconds(2'000);
 constexpr base::Duration kMaxOrderPhase = milliseconds(20'000);
-// Maximum share of the orders that one of these faults affects.
-constexpr double kMaxOrderFaultShare = 0.5;
+// Maximum shares of the starts and stops that one of these faults affects. A
+// stop is sent again every 150 ms, so a run outlives the 1.3 s until its job is
+// sent again only if most stops fail.
+constexpr double kMaxStartFaultShare = 0.5;
+constexpr double kMaxStopFaultShare = 0.95;
 // Wall clocks of processes are ahead or behind by up to this value.
 constexpr int kMaxWallOffsetMs = 5'000;
 
@@ -326,12 +329,12 @@
 }
 
 void FaultPlan::BeginOrderPhase() {
-  const auto share = [this] {
-    return this->order_random.UniformFraction() * kMaxOrderFaultShare;
+  const auto share = [this](double max) {
+    return this->order_random.UniformFraction() * max;
   };
-  this->order_faults.start_answer_lost = share();
-  this->order_faults.stop_lost = share();
-  this->order_faults.stop_late = share();
+  this->order_faults.start_answer_lost = share(kMaxStartFaultShare);
+  this->order_faults.stop_lost = share(kMaxStopFaultShare);
+  this->order_faults.stop_late = share(kMaxStopFaultShare);
   this->environment.leased_endpoints.SetFaults(this->order_faults);
   const base::Duration duration =
       this->order_random.Between(kMinOrderPhase, kMaxOrderPhase);
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -40,9 +40,9 @@
 constexpr base::Duration kResidentDeadline = milliseconds(14'000);
 // Share of the sends during faults whose caller loses the connection, and the
 // time after which it does so. The process notices half of these losses.
-constexpr double kLostConnectionShare = 0.03;
-constexpr base::Duration kMinLossTime = milliseconds(50);
-constexpr base::Duration kMaxLossTime = milliseconds(1'400);
+constexpr double kLostConnectionShare = 0.06;
+constexpr base::Duration kMinLossTime = milliseconds(10);
+constexpr base::Duration kMaxLossTime = milliseconds(600);
 constexpr base::Duration kFirstLateStop = milliseconds(300);
 constexpr int kTaskMemoryMb = 64;
 constexpr int kStatusOk = 200;
