--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -333,7 +333,7 @@
     return this->order_random.UniformFraction() * max;
   };
   this->order_faults.start_answer_lost = share(kMaxStartFaultShare);
-  this->order_faults.stop_lost = share(kMaxStopFaultShare);
+  this->order_faults.stops_lost = share(kMaxStopFaultShare);
   this->order_faults.stop_late = share(kMaxStopFaultShare);
   this->environment.leased_endpoints.SetFaults(this->order_faults);
   const base::Duration duration =
@@ -341,11 +341,11 @@
   this->RecordFault(fmt::format(
       "orders: {:.2f} of the answers to starts lost, {:.2f} of the stops lost, "
       "{:.2f} of the others late, for {} ms",
-      this->order_faults.start_answer_lost, this->order_faults.stop_lost,
+      this->order_faults.start_answer_lost, this->order_faults.stops_lost,
       this->order_faults.stop_late, duration / milliseconds(1)));
   this->order_timer.StartOnce(duration, [this] {
     this->order_faults.start_answer_lost = 0;
-    this->order_faults.stop_lost = 0;
+    this->order_faults.stops_lost = 0;
     this->order_faults.stop_late = 0;
     this->environment.leased_endpoints.SetFaults(this->order_faults);
     this->ScheduleOrderPhase();
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -371,7 +371,7 @@
       process_domain, target, process_clock,
       [this, target, task, run, answer](Endpoint& endpoint,
                                         const CallPointer& call) {
-        if (this->Occurs(this->faults.stop_lost)) {
+        if (this->Occurs(this->faults.stops_lost)) {
           this->Log(endpoint, fmt::format("stop_lost task={} run={} token={}",
                                           task, run, target.fence));
           return;
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -34,10 +34,8 @@
     /// Fraction of start orders, from 0 to 1, that are carried out without an
     /// answer, besides those of `answer_lost`.
     double start_answer_lost = 0;
-    /// Fraction of stop orders, from 0 to 1, that have no effect and no answer.
-    double stop_lost = 0;
-    /// Fraction of the other stop orders, from 0 to 1, that are carried out up
-    /// to `max_stop_delay` late, without an answer.
+    /// Fraction of the stop orders that arrive, from 0 to 1, that are carried
+    /// out up to `max_stop_delay` late, without an answer.
     double stop_late = 0;
     base::Duration max_stop_delay{4'000'000};
     /// Fraction of orders, from 0 to 1, whose connection ends within 2 ms
@@ -47,6 +45,8 @@
     /// Fraction of orders, from 0 to 1, that are refused with kOverloaded and
     /// have no effect.
     double overloaded = 0;
+    /// Fraction of stop orders, from 0 to 1, that never arrive.
+    double stops_lost = 0;
     /// Orders and answers take up to this time, so that they overtake each
     /// other; 0 for a fixed time.
     base::Duration max_transit{0};
