--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -35,6 +35,16 @@
 constexpr double kOutageShare = 0.25;
 constexpr base::Duration kMinOutage = milliseconds(5'000);
 constexpr base::Duration kMaxOutage = milliseconds(9'000);
+// Time between two phases of faults of single orders, and their duration.
+constexpr base::Duration kMinOrderPhaseInterval = milliseconds(500);
+constexpr base::Duration kMaxOrderPhaseInterval = milliseconds(4'000);
+constexpr base::Duration kMinOrderPhase = milliseconds(2'000);
+constexpr base::Duration kMaxOrderPhase = milliseconds(20'000);
+// Maximum shares of the starts and stops that one of these faults affects. A
+// stop is sent again every 150 ms, so a run outlives the 1.3 s until its job is
+// sent again only if most stops fail.
+constexpr double kMaxStartFaultShare = 0.5;
+constexpr double kMaxStopFaultShare = 0.95;
 // Wall clocks of processes are ahead or behind by up to this value.
 constexpr int kMaxWallOffsetMs = 5'000;
 
@@ -52,6 +62,8 @@
       series_timer(environment.clock),
       cut_random(environment.options.seed),
       cut_timer(environment.clock),
+      order_random(environment.options.seed),
+      order_timer(environment.clock),
       process_check_timer(environment.clock) {}
 
 void FaultPlan::Start() {
@@ -61,6 +73,7 @@
   this->ScheduleNext();
   this->ScheduleSeries();
   this->ScheduleCuts();
+  this->ScheduleOrderPhase();
 }
 
 void FaultPlan::RecordFault(const std::string& description) {
@@ -292,12 +305,13 @@
       return;
     case 2: {
       this->RecordFault("delay orders or drop their answers");
-      testing::LeasedEndpoints::Faults order_faults;
-      order_faults.late = 0.05;
-      order_faults.answer_lost = 0.05;
-      this->environment.leased_endpoints.SetFaults(order_faults);
+      this->order_faults.late = 0.05;
+      this->order_faults.answer_lost = 0.05;
+      this->environment.leased_endpoints.SetFaults(this->order_faults);
       this->environment.clock.StartTimer(this->RandomDuration(), [this] {
-        this->environment.leased_endpoints.SetFaults({});
+        this->order_faults.late = 0;
+        this->order_faults.answer_lost = 0;
+        this->environment.leased_endpoints.SetFaults(this->order_faults);
       });
       return;
     }
@@ -307,6 +321,37 @@
   }
 }
 
+void FaultPlan::ScheduleOrderPhase() {
+  this->order_timer.StartOnce(
+      this->order_random.Between(kMinOrderPhaseInterval,
+                                 kMaxOrderPhaseInterval),
+      [this] { this->BeginOrderPhase(); });
+}
+
+void FaultPlan::BeginOrderPhase() {
+  const auto share = [this](double max) {
+    return this->order_random.UniformFraction() * max;
+  };
+  this->order_faults.start_answer_lost = share(kMaxStartFaultShare);
+  this->order_faults.stops_lost = share(kMaxStopFaultShare);
+  this->order_faults.stop_late = share(kMaxStopFaultShare);
+  this->environment.leased_endpoints.SetFaults(this->order_faults);
+  const base::Duration duration =
+      this->order_random.Between(kMinOrderPhase, kMaxOrderPhase);
+  this->RecordFault(fmt::format(
+      "orders: {:.2f} of the answers to starts lost, {:.2f} of the stops lost, "
+      "{:.2f} of the others late, for {} ms",
+      this->order_faults.start_answer_lost, this->order_faults.stops_lost,
+      this->order_faults.stop_late, duration / milliseconds(1)));
+  this->order_timer.StartOnce(duration, [this] {
+    this->order_faults.start_answer_lost = 0;
+    this->order_faults.stops_lost = 0;
+    this->order_faults.stop_late = 0;
+    this->environment.leased_endpoints.SetFaults(this->order_faults);
+    this->ScheduleOrderPhase();
+  });
+}
+
 void FaultPlan::InjectStoreFault() {
   switch (this->environment.random.Below(4)) {
     case 0:
@@ -342,6 +387,8 @@
   this->timer.Stop();
   this->series_timer.Stop();
   this->cut_timer.Stop();
+  this->order_timer.Stop();
+  this->order_faults = {};
   this->environment.store.SetDown("", false);
   this->environment.leased_endpoints.SetFaults({});
   for (const auto& member : this->environment.members) {
