Cluster: the report of a lost process outlasts the leases of its runs

Cause: the report of a lost coordinator lapsed 1.5 s after its last heartbeat. The holder of the endpoint takes over the report when it notices the loss, up to 1 s later. When it was lost itself just before that, the leases that it had renewed lasted up to 0.55 s longer than the report.

--- a/tests/jobs/copied_job_test.cc
+++ b/tests/jobs/copied_job_test.cc
@@ -189,6 +189,25 @@
   EXPECT_EQ(this->StartsOf(job), 1U);
 }
 
+// Guards against TWICE (issue 38): the holder of the run was paused just before
+// it noticed the loss of the coordinator, whose report lapsed before the lease.
+TEST_F(CopiedJobTest, ReportOutlastsLeaseWhenHolderIsPausedAfterCoordinator) {
+  const jobs::JobRequest job = this->NewJob(seconds(6), milliseconds(300));
+  const std::string coordinator = this->NorthProcess(false);
+  const std::string holder = this->NorthProcess(true);
+  this->LoseStops(true);
+  this->SubmitAndAbandon(coordinator, job);
+  this->fleet.Run(milliseconds(500));
+  this->fleet.Kill(coordinator);
+  this->fleet.Run(milliseconds(700));
+  this->fleet.Process(holder).clock.Pause();
+  this->fleet.Run(milliseconds(850));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+  this->Submit("south0", job);
+  this->fleet.Run(milliseconds(500));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+}
+
 // Guards against TWICE (issue 38): an open submission that found no free
 // endpoint was not reported, and was placed just after its copy.
 TEST_F(CopiedJobTest, CopyWaitsForOpenSubmissionThatIsPlacedLate) {
