Cluster: a new incarnation that is not related yet ends the state of the one before

Cause: the first heartbeat of a new process in another domain comes before it has a role, and is read only in part. It set the incarnation, so the next heartbeat seemed to be of the same process: the report, the held endpoints and the confirmations of the process before were kept as if they were its own, and the report was replaced while its runs went on. Change: the state of the process before is dropped, and its report kept, before the role is looked at.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -508,6 +508,12 @@
        heartbeat.receiver_live_since_ms() > member.confirmed_since_steady_ms);
   member.announce = heartbeat.member();
   member.last_heard = this->parts.clock.Now();
+  if (!same_process) {
+    member.held.clear();
+    member.previous_job_report = std::exchange(member.job_report, {});
+    member.confirmed_steady_ms = 0;
+    member.confirmed_since_steady_ms = 0;
+  }
   for (const std::string& peer : heartbeat.peers()) this->AddMember(peer);
   if (!this->IsRelated(member, heartbeat)) {
     // The sender stops when it sees from an answer that it is unrelated to this
@@ -520,12 +526,6 @@
     member.unrelated = true;
     return;
   }
-  if (!same_process) {
-    member.held.clear();
-    member.previous_job_report = std::exchange(member.job_report, {});
-    member.confirmed_steady_ms = 0;
-    member.confirmed_since_steady_ms = 0;
-  }
   if (joined) member.live_since_steady_ms = heartbeat.steady_ms();
   // A queued heartbeat for the process that this VM ran before a reboot
   // confirms readings of a clock that has begun anew since.
