Relay: no job is forwarded to a process that does not know its role yet

Cause: entries work out the roles of their domain from weights, and forwarded jobs to a process 0.2 s after its start, 1.6 s before it knew its own role. Until then it exchanges no heartbeats with the coordinators of other domains, so it had no reports of jobs in progress there. JobRelayTest.JobsAreNotForwardedToProcessWithoutARole failed (jobs were hosted), and passes. Change: a coordinator of the own domain is chosen only if its own heartbeats say that it is one. The other coordinators of the domain serve the jobs meanwhile; a process without a role holds no endpoints.

--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -158,6 +158,9 @@
   double best = 0;
   for (const auto& [address, member] : board.members) {
     if (!member.is_coordinator || !board.IsSameDomain(member)) continue;
+    // A process that has just started has no role by its own account yet, and
+    // no reports of jobs in progress from other domains.
+    if (!member.last.coordinates()) continue;
     if (!cluster::ClusterBoard::IsReceivedBy(member)) continue;
     // Copies of a job get the same coordinator.
     const double score =
--- a/tests/jobs/job_relay_test.cc
+++ b/tests/jobs/job_relay_test.cc
@@ -434,6 +434,22 @@
 
 // An entry rejects new jobs during a planned stop, because a late job could
 // outlast the process.
+// Guards against TWICE (issue 38): a process that had just started got a copy
+// of a job before it knew of the coordinators of other domains, and so before
+// their reports of jobs in progress.
+TEST_F(JobRelayTest, JobsAreNotForwardedToProcessWithoutARole) {
+  HostedProcess& started =
+      this->fleet.AddProcess("strong2", "north", kStrongWeight);
+  int steps_without_role = 0;
+  while (!started.cluster.Board().is_coordinator) {
+    ASSERT_LT(++steps_without_role, 1'000);
+    this->fleet.Submit("weak0", kPath, 1, milliseconds(20));
+    this->fleet.Run(milliseconds(5));
+  }
+  EXPECT_GT(steps_without_role, 10);
+  EXPECT_EQ(started.metrics.Counter("relay.hosted"), 0U);
+}
+
 TEST_F(JobRelayTest, StoppingEntryRejectsNewJobs) {
   this->fleet.Process("weak0").jobs.RejectNewJobs();
   const auto answer = this->fleet.Submit("weak0", kPath, 2, milliseconds(200));
