--- a/review/rig-2/client.cc
+++ b/review/rig-2/client.cc
@@ -40,14 +40,14 @@
   return answer;
 }
 
-std::string JobBody(int tasks, int cpu, int work_ms, int estimate_ms) {
+std::string JobBody(int tasks, int cpu, int work_ms, int estimate_ms,
+                    const std::string& label) {
+  nlohmann::json step = {
+      {"count", tasks}, {"cpu", cpu}, {"memMb", 64}, {"estMs", estimate_ms}};
+  if (!label.empty()) step["requires"] = label;
   return nlohmann::json{{"jobSpec", std::to_string(work_ms)},
                         {"bestEffort", true},
-                        {"steps",
-                         {{{"count", tasks},
-                           {"cpu", cpu},
-                           {"memMb", 64},
-                           {"estMs", estimate_ms}}}}}
+                        {"steps", nlohmann::json::array({step})}}
       .dump();
 }
 
--- a/review/rig-2/client.h
+++ b/review/rig-2/client.h
@@ -21,7 +21,9 @@
             const std::string& host, const std::string& path,
             const std::string& body, int timeout_ms, int deadline_ms = 0);
 
-/// Returns the body of a job that needn't be kept, with one step.
-std::string JobBody(int tasks, int cpu, int work_ms, int estimate_ms);
+/// Returns the body of a job that needn't be kept, with one step. Its workers
+/// must have the label `label`, if it is given.
+std::string JobBody(int tasks, int cpu, int work_ms, int estimate_ms,
+                    const std::string& label = "");
 
 }  // namespace rig
--- a/review/rig-2/fleet.cc
+++ b/review/rig-2/fleet.cc
@@ -17,7 +17,8 @@
 
 Fleet::Fleet(const std::string& program, const std::string& folder,
              Record& record, const std::vector<int>& zones,
-             int workers_per_zone, int cpu, const std::vector<double>& shares)
+             int workers_per_zone, int cpu,
+             const std::vector<std::vector<double>>& shares)
     : record(record), log(record), store("127.0.0.1") {
   std::size_t node = 0;
   for (std::size_t zone = 0; zone < zones.size(); ++zone) {
@@ -25,15 +26,17 @@
     for (int i = 0; i < workers_per_zone; ++i) {
       const std::string number = std::to_string(this->workers.size());
       this->workers.push_back(std::make_unique<Worker>(
-          "i-" + number, "booking", zone_name, "r-" + number, cpu, "127.0.0.1",
-          this->store, record, this->log));
+          "i-" + number, "booking", zone_name, "r-" + std::to_string(zone), cpu,
+          "127.0.0.1", this->store, record, this->log));
     }
     for (int i = 0; i < zones[zone]; ++i, ++node) {
       Dispatcher::Settings settings;
       settings.name = NodeName(node);
       settings.zone = zone_name;
-      settings.cpu_share = shares[std::min<std::size_t>(
-          static_cast<std::size_t>(i), shares.size() - 1)];
+      const std::vector<double>& zone_shares =
+          shares[std::min(zone, shares.size() - 1)];
+      settings.cpu_share = zone_shares[std::min<std::size_t>(
+          static_cast<std::size_t>(i), zone_shares.size() - 1)];
       settings.ip =
           "127.0." + std::to_string(zone + 1) + "." + std::to_string(i + 1);
       settings.peer_port = FreePort(settings.ip);
--- a/review/rig-2/fleet.h
+++ b/review/rig-2/fleet.h
@@ -29,12 +29,13 @@
 class Fleet {
  public:
   /// Starts `zones[i]` dispatchers in zone i, and `workers_per_zone` workers
-  /// there of `cpu` thousandths of a core. `shares[i]` is the share of a core
-  /// of the i-th dispatcher of each zone; the last one is for the rest.
-  /// `folder` is a temporary one.
+  /// there of `cpu` thousandths of a core. `shares[i]` lists the shares of a
+  /// core of the dispatchers of zone i; the last one of a zone is for the rest
+  /// of it, and the last zone for the rest of them. `folder` is a temporary
+  /// one.
   Fleet(const std::string& program, const std::string& folder, Record& record,
         const std::vector<int>& zones, int workers_per_zone, int cpu,
-        const std::vector<double>& shares = {0.25});
+        const std::vector<std::vector<double>>& shares = {{0.25}});
 
   /// Writes the next desired state.
   void Publish(const std::vector<Route>& routes);
