--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Case 7: an entry of another writer, without most fields, is used as a worker.
-# TROUBLE=0 leaves out that entry.
+# Case 7: two machines are killed 0.55 s apart, and a task runs beside its copy.
+# TROUBLE=0 kills none.
 set -uo pipefail
 case=7
 . "$(dirname "$0")/../rig-2/run_case.sh"
