--- a/src/libs/base/settings_reader.cc
+++ b/src/libs/base/settings_reader.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -32,19 +33,23 @@
   return fmt::format("{}us", value.count());
 }
 
+// Parses a number, which may be a fraction, with a unit. Rounds to whole
+// microseconds.
 bool ParseDuration(std::string_view text, Duration* value) {
   for (const Unit& unit : kUnits) {
     if (!text.ends_with(unit.suffix)) continue;
     const std::string_view digits =
         text.substr(0, text.size() - unit.suffix.size());
-    std::int64_t count = 0;
-    if (!absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()),
+    double count = 0;
+    if (!absl::SimpleAtod(absl::string_view(digits.data(), digits.size()),
                           &count)) {
       return false;
     }
-    constexpr std::int64_t kMaxCount = 1'000'000'000;
-    if (count < 0 || count > kMaxCount) return false;
-    *value = Duration(count * unit.microseconds);
+    constexpr double kMaxCount = 1e9;
+    // A value that is not a number fails both comparisons.
+    if (!(count >= 0 && count <= kMaxCount)) return false;
+    *value =
+        Duration(std::llround(count * static_cast<double>(unit.microseconds)));
     return true;
   }
   return false;
@@ -123,7 +128,7 @@
   Duration value{0};
   if (!ParseDuration(text, &value)) {
     this->AddFault(group, key,
-                   "must be a whole number with a unit: ms, s or min");
+                   "must be a number of at least 0 with a unit: ms, s or min");
     return fallback;
   }
   if (value < minimum || value > maximum) {
--- a/src/libs/base/settings_reader.h
+++ b/src/libs/base/settings_reader.h
@@ -36,7 +36,9 @@
   double Number(const std::string& group, const std::string& key,
                 double fallback, double minimum, double maximum);
 
-  /// Reads a duration with a unit, such as `250ms`, `3s` or `5min`.
+  /// Reads a duration, a number with a unit such as `250ms`, `6.5s` or `5min`,
+  /// from `minimum` to `maximum`, both inclusive. Fractions of a microsecond
+  /// are rounded.
   Duration Time(const std::string& group, const std::string& key,
                 Duration fallback, Duration minimum, Duration maximum);
 
