Node: a refused reload stays visible until one succeeds

Change: each fault is logged; the metric settings.refused is 1 and refused_settings in the dump lists the faults until a reload succeeds.

--- a/src/hawthornwheeld/main.cc
+++ b/src/hawthornwheeld/main.cc
@@ -119,10 +119,7 @@
                         const std::string& text) {
   const auto reading = node::PlatformNodeSettings::Read(path, text);
   if (!reading.faults.empty()) {
-    kLog.Error(
-        "Changed settings are invalid; the previous ones stay in force. "
-        "cause=\"{}\"",
-        base::FormatFault(reading.faults.front()));
+    node.RefuseReload(reading.faults);
     return;
   }
   base::SetLogLevel(base::ParseLogLevel(reading.settings.log_level));
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "admin/metrics_front.h"
 #include "base/glib_clock.h"
@@ -45,6 +47,9 @@
 // only those are that cannot end before the process stops.
 constexpr base::Duration kNewJobReserve = milliseconds(1'900);
 
+// Whether the settings file has faults that its last reload found.
+constexpr char kRefusedMetric[] = "settings.refused";
+
 // Returns an id for a new incarnation of the process. It ends with random
 // digits, because each start is a new incarnation.
 std::string NewIncarnation(const std::string& name) {
@@ -183,6 +188,8 @@
   std::unique_ptr<admin::MetricsFront> metrics_front;
   base::Timer drain_timer;
   base::TimePoint drain_start;
+  /// Faults of the settings file at its last reload; empty if it was applied.
+  std::vector<std::string> refused_settings;
 };
 
 PlatformNode::PlatformNode(PlatformNodeSettings settings,
@@ -221,6 +228,8 @@
 
 void PlatformNode::Reload(const PlatformNodeSettings& settings) {
   PlatformNodeSettings& current = this->d->settings;
+  this->d->refused_settings.clear();
+  this->d->metrics.Set(kRefusedMetric, 0);
   if (settings.AddressesDifferFrom(current)) {
     kLog.Warning("Changed addresses take effect at the next start.");
   }
@@ -237,6 +246,18 @@
             settings.store_address);
 }
 
+void PlatformNode::RefuseReload(const std::vector<base::IniFault>& faults) {
+  this->d->refused_settings.clear();
+  for (const base::IniFault& fault : faults) {
+    this->d->refused_settings.push_back(base::FormatFault(fault));
+    kLog.Error(
+        "Changed settings are invalid; the previous ones stay in force until "
+        "the process ends, and it cannot start with these. cause=\"{}\"",
+        this->d->refused_settings.back());
+  }
+  this->d->metrics.Set(kRefusedMetric, 1);
+}
+
 void PlatformNode::Stop() {
   if (this->d->cluster.Board().leaving) {
     this->d->on_stopped();
@@ -254,12 +275,16 @@
 std::string PlatformNode::Dump() const {
   const catalog::Catalog& catalog = this->d->catalog.GetCatalog();
   const nlohmann::json evacuated = catalog.evacuations.Domains();
+  const nlohmann::json refused_settings = this->d->refused_settings;
   std::string text = fmt::format(
-      R"({{"incarnation":"{}","version":{},"evacuated":{},)"
+      R"({{"incarnation":"{}","refused_settings":{},"version":{},)"
+      R"("evacuated":{},)"
       R"("evacuations_revision":{},"endpoints":{},"jobs":{},)"
       R"("jobs_in_progress":{},"jobs_in_progress_elsewhere":{},"sessions":[)",
-      this->d->cluster.Board().self.incarnation(), catalog.Version(),
-      evacuated.dump(), catalog.evacuations.Revision(),
+      this->d->cluster.Board().self.incarnation(),
+      refused_settings.dump(-1, ' ', false,
+                            nlohmann::json::error_handler_t::replace),
+      catalog.Version(), evacuated.dump(), catalog.evacuations.Revision(),
       catalog.endpoints.size(), this->d->jobs.OpenJobs(),
       this->d->jobs.JobsInProgress().size(),
       this->d->cluster.JobsInProgressElsewhere().size());
--- a/src/libs/node/platform_node.h
+++ b/src/libs/node/platform_node.h
@@ -3,7 +3,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "base/ini_file.h"
 #include "base/result.h"
 #include "node/platform_node_settings.h"
 
@@ -25,6 +27,11 @@
   /// warning is logged when an address of this process has changed.
   void Reload(const PlatformNodeSettings& settings);
 
+  /// Records that a changed settings file has `faults` and was not applied. The
+  /// process would not start with it, so Dump() shows the faults and the metric
+  /// `settings.refused` is 1 until a reload succeeds.
+  void RefuseReload(const std::vector<base::IniFault>& faults);
+
   /// Starts the drain. A second call stops at once, without waiting for
   /// open jobs.
   void Stop();
