Runs: leases are 1 s at most, and short ones are renewed in time

Cause: holdMaxMs of the platform was used as the lease as it is, though two bounds rely on a lease of 1 s: RemoteRuns counts the runs of a dead process as ended 1.2 s after its loss, and callers send its jobs again after 1.3 s. With 400 ms or less, the program did not start: the defaults of poll_wait and answer_time, which the template does not set, do not fit into it. Above 60 s it did not start either.

SettingsTemplateTest LeaseIsOneSecondAtMost and ShortLeaseIsRenewedInTime.

--- a/tests/node/platform_node_settings_test.cc
+++ b/tests/node/platform_node_settings_test.cc
@@ -145,6 +145,27 @@
             std::chrono::microseconds(12'500));
 }
 
+// Guards against leases that outlast the time after which a caller submits the
+// job of a lost process again (1.3 s), where the platform grants longer ones.
+TEST(SettingsTemplateTest, LeaseIsOneSecondAtMost) {
+  for (const char* granted : {"1001", "3000", "90000"}) {
+    const auto reading = ReadTemplate("bounds.holdMaxMs", granted);
+    EXPECT_TRUE(reading.faults.empty()) << granted;
+    EXPECT_EQ(reading.settings.runs.lease, milliseconds(1'000)) << granted;
+  }
+}
+
+// Guards against a process that does not start since the platform grants only
+// short leases, and against polls that renew them too late.
+TEST(SettingsTemplateTest, ShortLeaseIsRenewedInTime) {
+  const auto reading = ReadTemplate("bounds.holdMaxMs", "400");
+  EXPECT_TRUE(reading.faults.empty());
+  const runs::RunSettings& settings = reading.settings.runs;
+  EXPECT_EQ(settings.lease, milliseconds(400));
+  EXPECT_EQ(settings.poll_wait, milliseconds(100));
+  EXPECT_EQ(settings.answer_time, milliseconds(60));
+}
+
 TEST(PlatformNodeSettingsTest, OnlyOwnAddressesRequireRestart) {
   const PlatformNodeSettings old =
       PlatformNodeSettings::Read("f", Text()).settings;
