--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -21,8 +21,10 @@
 // Silent members are removed after this time. A replaced process never returns,
 // and a restarted one is discovered again.
 constexpr base::Duration kForgetAfter = seconds(60);
-// Heartbeats to a member stop when it has been unrelated for this time. It is
-// longer than any job, so that runs placed before have ended.
+// Heartbeats to a member stop when it has been unrelated for this time. Members
+// with open tasks or jobs are related, however long these take. The time covers
+// what one of the two opens while the other does not know of it yet, and keeps
+// roles that change back and forth from starting over.
 constexpr base::Duration kUnrelatedTimeout = seconds(5);
 // Minimum pause between answers to an unrelated process.
 constexpr base::Duration kUnrelatedAnswerPause = milliseconds(500);
@@ -155,6 +157,10 @@
   this->sender.SetJobsInProgress(std::move(jobs));
 }
 
+void ClusterController::SetOpenWorkPeers(HeartbeatSender::OpenWorkPeers peers) {
+  this->sender.SetOpenWorkPeers(std::move(peers));
+}
+
 JobRuns ClusterController::JobsInProgressElsewhere() const {
   JobRuns jobs;
   const base::TimePoint now = this->parts.clock.Now();
@@ -287,8 +293,8 @@
   bool dropped = false;
   for (auto& [address, member] : this->board.members) {
     const bool related =
-        this->board.IsSameDomain(member) ||
-        (this->board.is_coordinator && member.last.coordinates());
+        this->IsRelated(member.announce, member.last.coordinates(),
+                        !member.job_report.jobs.empty());
     if (related || !member.live) {
       member.last_related = now;
     } else if (now - member.last_related > kUnrelatedTimeout) {
@@ -478,12 +484,17 @@
   }
 }
 
-bool ClusterController::IsRelated(
-    const ClusterBoard::Member& member,
-    const wire::MemberHeartbeat& heartbeat) const {
-  if (member.live) return true;
-  if (heartbeat.member().domain() == this->board.self.domain()) return true;
-  return this->board.is_coordinator && heartbeat.coordinates();
+// Returns whether this process and a member exchange heartbeats: by their
+// domains and roles, or since they have tasks or jobs open, or since one of
+// them is an entry that coordinates jobs from an earlier role, whose copies the
+// other may get.
+bool ClusterController::IsRelated(const wire::MemberAnnounce& announce,
+                                  bool coordinates, bool reports_jobs) const {
+  if (announce.domain() == this->board.self.domain()) return true;
+  if (this->sender.HasOpenWorkWith(announce.peer_address())) return true;
+  const bool is_coordinator = this->board.is_coordinator;
+  return (is_coordinator && (coordinates || reports_jobs)) ||
+         (coordinates && this->sender.ReportsJobs());
 }
 
 void ClusterController::ReceiveHeartbeat(const wire::Envelope& envelope) {
@@ -515,7 +526,11 @@
     member.confirmed_since_steady_ms = 0;
   }
   for (const std::string& peer : heartbeat.peers()) this->AddMember(peer);
-  if (!this->IsRelated(member, heartbeat)) {
+  const bool related =
+      member.live ||
+      this->IsRelated(heartbeat.member(), heartbeat.coordinates(),
+                      heartbeat.jobs_in_progress_size() > 0);
+  if (!related) {
     // The sender stops when it sees from an answer that it is unrelated to this
     // process. Without the pause, two processes would answer each other's
     // answers.
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -54,6 +54,17 @@
   /// at other processes have to wait for. Heartbeats report them.
   void SetJobsInProgress(HeartbeatSender::JobsInProgress jobs);
 
+  /// Sets the function that returns the peer addresses of the processes that
+  /// have tasks or jobs open with this one. Heartbeats to them stay frequent
+  /// whatever the roles are.
+  void SetOpenWorkPeers(HeartbeatSender::OpenWorkPeers peers);
+
+  /// Must be called before a task or job is sent to the process at `address`,
+  /// and when one is accepted from it.
+  void BeginOpenWork(const std::string& address) {
+    this->sender.BeginOpenWork(address);
+  }
+
   /// Returns the jobs with runs in progress that other processes have reported.
   /// The report of a lost process counts until its runs have ended or are
   /// reported by the holders of their endpoints.
@@ -132,8 +143,8 @@
   void ReceiveMembers(const std::vector<catalog::StoreRecord>& records);
   void AddMember(const std::string& address);
   void ReceiveHeartbeat(const wire::Envelope& envelope);
-  bool IsRelated(const ClusterBoard::Member& member,
-                 const wire::MemberHeartbeat& heartbeat) const;
+  bool IsRelated(const wire::MemberAnnounce& announce, bool coordinates,
+                 bool reports_jobs) const;
 
   Parts parts;
   ClusterBoard board;
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -9,13 +9,15 @@
 
 using std::chrono::milliseconds;
 
-// Interval between processes that place tasks or hand over jobs to each other.
+// Interval between processes that place tasks or hand over jobs to each other,
+// or have such open.
 constexpr base::Duration kShortInterval = HeartbeatSender::kTick;
 // Interval between entries of a domain, and to processes that are not live.
 constexpr base::Duration kLongInterval = milliseconds(1'000);
 // A member counts as lost after four missing heartbeats. A caller resubmits a
 // job 1.3 s after it has lost the process that accepted the job. By then the
-// runs of that process must have been stopped.
+// runs of that process must have been stopped, so processes with open runs use
+// kShortInterval whatever their roles are.
 constexpr int kMaxSilentIntervals = 4;
 // Number of ticks after which heartbeats to live members include the list of
 // live peers again.
@@ -46,10 +48,16 @@
 base::Duration HeartbeatSender::IntervalTo(
     const ClusterBoard::Member& member) const {
   if (!member.live) return kLongInterval;
+  if (this->HasOpenWorkWith(member.announce.peer_address())) {
+    return kShortInterval;
+  }
+  // An entry that has been a coordinator reports the jobs of that time in time
+  // for their copies.
   const bool frequent =
       this->board.IsSameDomain(member)
           ? this->board.is_coordinator || member.is_coordinator
-          : this->board.is_coordinator && member.is_coordinator;
+          : (this->board.is_coordinator || this->ReportsJobs()) &&
+                member.is_coordinator;
   return frequent ? kShortInterval : kLongInterval;
 }
 
@@ -76,7 +84,7 @@
 
 void HeartbeatSender::Tick() {
   ++this->ticks;
-  this->RefreshJobs();
+  this->RefreshWork();
   const base::TimePoint now = this->clock.Now();
   for (auto& [address, member] : this->board.members) {
     if (member.unrelated) continue;
@@ -89,7 +97,7 @@
 }
 
 void HeartbeatSender::SendToAll() {
-  this->RefreshJobs();
+  this->RefreshWork();
   for (auto& [address, member] : this->board.members) {
     this->SendTo(address, member, this->DetailFor(member));
   }
@@ -98,10 +106,19 @@
 void HeartbeatSender::SendNow(const std::string& address) {
   const auto member = this->board.members.find(address);
   if (member == this->board.members.end()) return;
-  this->RefreshJobs();
+  this->RefreshWork();
   this->SendTo(address, member->second, this->DetailFor(member->second));
 }
 
+void HeartbeatSender::BeginOpenWork(const std::string& address) {
+  if (!this->open_work_peers.insert(address).second) return;
+  const auto found = this->board.members.find(address);
+  if (found == this->board.members.end()) return;
+  ClusterBoard::Member& member = found->second;
+  if (this->IntervalTo(member) >= member.reported_interval) return;
+  this->SendTo(address, member, this->DetailFor(member));
+}
+
 void HeartbeatSender::SendTo(const std::string& address,
                              ClusterBoard::Member& member, Detail detail) {
   wire::Envelope envelope;
@@ -127,8 +144,9 @@
   this->hooks.send(address, std::move(envelope));
 }
 
-void HeartbeatSender::RefreshJobs() {
+void HeartbeatSender::RefreshWork() {
   if (this->jobs_in_progress) this->reported_jobs = this->jobs_in_progress();
+  if (this->open_work_source) this->open_work_peers = this->open_work_source();
 }
 
 void HeartbeatSender::WriteJobs(wire::MemberHeartbeat& heartbeat) const {
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -10,10 +11,11 @@
 namespace hawthornwheel::cluster {
 
 /// Sends heartbeats: at a short interval to members that exchange tasks or jobs
-/// with this process, at a long interval to the others, and with all held
-/// endpoints only to members that use them: the coordinators of the domain and
-/// those of evacuated domains, which use no endpoints of their own. Changes of
-/// held endpoints are sent to the same members between heartbeats.
+/// with this process by their roles, or have open ones from earlier roles, at a
+/// long interval to the others, and with all held endpoints only to members
+/// that use them: the coordinators of the domain and those of evacuated
+/// domains, which use no endpoints of their own. Changes of held endpoints are
+/// sent to the same members between heartbeats.
 class HeartbeatSender {
  public:
   /// Which endpoints a heartbeat includes.
@@ -36,6 +38,10 @@
   /// Returns the jobs that a copy at another process has to wait for.
   using JobsInProgress = std::function<JobRuns()>;
 
+  /// Returns the peer addresses of the processes that have tasks or jobs open
+  /// with this one.
+  using OpenWorkPeers = std::function<std::set<std::string>()>;
+
   struct Hooks {
     /// Fills in the sender, its state, versions and clock.
     std::function<void(wire::MemberHeartbeat&)> fill_heartbeat;
@@ -56,6 +62,24 @@
     this->jobs_in_progress = std::move(jobs);
   }
 
+  void SetOpenWorkPeers(OpenWorkPeers peers) {
+    this->open_work_source = std::move(peers);
+  }
+
+  /// Marks that a task or job is opened with the process at `address`. If the
+  /// two exchange heartbeats at the long interval, sends one that announces the
+  /// short one, so that the receiver has it before the task or job.
+  void BeginOpenWork(const std::string& address);
+
+  /// Returns whether tasks or jobs are open with the process at `address`, as
+  /// of the last tick or BeginOpenWork().
+  bool HasOpenWorkWith(const std::string& address) const {
+    return this->open_work_peers.contains(address);
+  }
+
+  /// Returns whether heartbeats of this process report jobs in progress.
+  bool ReportsJobs() const { return !this->reported_jobs.empty(); }
+
   /// Sends the heartbeats that are due. Must be called every kTick.
   void Tick();
   static constexpr base::Duration kTick = std::chrono::milliseconds(200);
@@ -83,7 +107,7 @@
   Detail DetailFor(const ClusterBoard::Member& member) const;
   void SendTo(const std::string& address, ClusterBoard::Member& member,
               Detail detail);
-  void RefreshJobs();
+  void RefreshWork();
   void WriteJobs(wire::MemberHeartbeat& heartbeat) const;
   void SendUpdate(bool announce_waiting);
   bool IsUpdateTarget(const ClusterBoard::Member& member) const;
@@ -94,8 +118,11 @@
   Hooks hooks;
   HeldEndpointWriter held_writer;
   JobsInProgress jobs_in_progress;
+  OpenWorkPeers open_work_source;
   /// Jobs that the heartbeats of the present tick report.
   JobRuns reported_jobs;
+  /// Peer addresses of the processes with open tasks or jobs.
+  std::set<std::string> open_work_peers;
   base::Timer update_timer;
   /// Whether the scheduled update uses the short delay.
   bool update_urgent = false;
--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -130,6 +130,7 @@
     this->GiveUp(number, JobEnd::kTimedOut, "coordinator did not answer");
   });
   this->parts.metrics.Count("relay.handed");
+  this->parts.cluster.BeginOpenWork(address);
   this->SendJob(number, address, request, *route, configuration->version);
   return number;
 }
@@ -245,6 +246,7 @@
     return;
   }
   this->parts.metrics.Count("relay.hosted");
+  this->parts.cluster.BeginOpenWork(key.address);
   // The coordinator may answer before Accept() returns.
   this->hosted[key] = {job.id(), 0, this->parts.clock.Now(), now};
   const std::uint64_t caller = this->parts.coordinator.Accept(
@@ -371,6 +373,13 @@
   }
 }
 
+std::set<std::string> JobRelay::PeersWithJobs() const {
+  std::set<std::string> peers;
+  for (const auto& [number, job] : this->forwarded) peers.insert(job.address);
+  for (const auto& [key, job] : this->hosted) peers.insert(key.address);
+  return peers;
+}
+
 void JobRelay::InterruptAll() {
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, job] : this->forwarded) numbers.push_back(number);
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -63,6 +64,10 @@
   /// coordinators.
   void InterruptAll();
 
+  /// Returns the peer addresses of the processes that run jobs of callers of
+  /// this process, and of those whose jobs run here.
+  std::set<std::string> PeersWithJobs() const;
+
   /// Returns the number of jobs of callers of this process that other processes
   /// run.
   std::size_t ForwardedJobCount() const { return this->forwarded.size(); }
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -121,6 +122,11 @@
         [this] { this->jobs.SchedulePlacement(); });
     this->cluster.SetJobsInProgress(
         [this] { return this->jobs.JobsInProgress(); });
+    this->cluster.SetOpenWorkPeers([this] {
+      std::set<std::string> peers = this->remote.PeersWithRuns();
+      peers.merge(this->relay.PeersWithJobs());
+      return peers;
+    });
     this->pool.SetListener([this] { this->jobs.SchedulePlacement(); });
   }
 
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -70,6 +70,7 @@
     placement.lost_at = this->clock.Now() - kLostRunsTimeout;
     return id;
   }
+  this->cluster.BeginOpenWork(address);
   placement.incarnation = member->announce.incarnation();
   placement.holder_steady_ms = this->cluster.SteadyMsOf(*member);
   wire::PlaceRequest& request =
@@ -244,6 +245,7 @@
     return;
   }
   this->hosted[key] = {order.endpoint, order.task, order.run};
+  this->cluster.BeginOpenWork(std::get<0>(key));
   this->metrics.Count("remote.hosted");
 }
 
@@ -263,6 +265,15 @@
   return runs;
 }
 
+std::set<std::string> RemoteRuns::PeersWithRuns() const {
+  std::set<std::string> peers;
+  for (const auto& [id, placement] : this->placements) {
+    peers.insert(placement.address);
+  }
+  for (const auto& [key, run] : this->hosted) peers.insert(std::get<0>(key));
+  return peers;
+}
+
 wire::PlacementReport& RemoteRuns::PendingReport(const HostedKey& key) {
   const auto& [address, incarnation, placement] = key;
   this->ScheduleFlush();
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -70,6 +71,10 @@
   /// them is lost.
   std::vector<RunKey> OrphanedRuns() const;
 
+  /// Returns the peer addresses of the processes at which tasks of this process
+  /// are placed, and of those whose tasks run here.
+  std::set<std::string> PeersWithRuns() const;
+
   /// Returns the number of tasks of other processes that run here.
   std::size_t HostedTaskCount() const { return this->hosted.size(); }
 
--- a/tests/support/hosted_process.cc
+++ b/tests/support/hosted_process.cc
@@ -1,5 +1,8 @@
 #include "support/hosted_process.h"
 
+#include <set>
+#include <string>
+
 namespace hawthornwheel::testing {
 namespace {
 
@@ -54,6 +57,11 @@
   this->cluster.SetCapacityListener([this] { this->jobs.SchedulePlacement(); });
   this->cluster.SetJobsInProgress(
       [this] { return this->jobs.JobsInProgress(); });
+  this->cluster.SetOpenWorkPeers([this] {
+    std::set<std::string> peers = this->remote.PeersWithRuns();
+    peers.merge(this->relay.PeersWithJobs());
+    return peers;
+  });
   this->pool.SetListener([this] { this->jobs.SchedulePlacement(); });
   this->catalog.Start();
   this->cluster.Start();
