--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -43,9 +43,10 @@
 // counts as gone. Covers the time to detect the loss, one write and one read of
 // the presence record, and a margin.
 constexpr base::Duration kGoneAfter = milliseconds(1'500);
-// Time for which the last report of a lost process counts. A holder notices the
-// loss within 1 s and then reports the runs that go on. If it is lost before,
-// the leases end 1.05 s after its last order.
+// Time for which the last report of a lost process counts. The holder of its
+// runs stops them within 1.1 s of the loss, and reports them until they have
+// ended. If the holder is lost before, their leases end 1.05 s after its last
+// order.
 constexpr base::Duration kJobReportValidity = milliseconds(2'100);
 constexpr base::Duration kAnnounceRetry = milliseconds(700);
 
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -135,7 +135,7 @@
   heartbeat.set_interval_ms(
       static_cast<std::uint32_t>(member.reported_interval / milliseconds(1)));
   if (this->held_writer) this->held_writer(heartbeat, detail);
-  this->WriteJobs(heartbeat);
+  this->WriteJobs(member, heartbeat);
   if (!member.live || this->ticks % kGossipTicks == 0) {
     for (const auto& [peer, other] : this->board.members) {
       if (other.live) heartbeat.add_peers(peer);
@@ -149,11 +149,18 @@
   if (this->open_work_source) this->open_work_peers = this->open_work_source();
 }
 
-void HeartbeatSender::WriteJobs(wire::MemberHeartbeat& heartbeat) const {
-  for (const auto& [id, last_run] : this->reported_jobs) {
-    wire::JobInProgress& job = *heartbeat.add_jobs_in_progress();
-    job.set_id(id);
-    job.set_last_run(last_run);
+void HeartbeatSender::WriteJobs(const ClusterBoard::Member& receiver,
+                                wire::MemberHeartbeat& heartbeat) const {
+  const auto write = [&heartbeat](const JobRuns& jobs) {
+    for (const auto& [id, last_run] : jobs) {
+      wire::JobInProgress& job = *heartbeat.add_jobs_in_progress();
+      job.set_id(id);
+      job.set_last_run(last_run);
+    }
+  };
+  write(this->reported_jobs.to_all);
+  for (const auto& [incarnation, jobs] : this->reported_jobs.hosted) {
+    if (incarnation != receiver.announce.incarnation()) write(jobs);
   }
 }
 
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -7,6 +7,7 @@
 
 #include "base/timer.h"
 #include "cluster/cluster_board.h"
+#include "cluster/reported_jobs.h"
 
 namespace hawthornwheel::cluster {
 
@@ -36,7 +37,7 @@
       std::function<void(wire::MemberHeartbeat&, Detail)>;
 
   /// Returns the jobs that a copy at another process has to wait for.
-  using JobsInProgress = std::function<JobRuns()>;
+  using JobsInProgress = std::function<ReportedJobs()>;
 
   /// Returns the peer addresses of the processes that have tasks or jobs open
   /// with this one.
@@ -78,7 +79,7 @@
   }
 
   /// Returns whether heartbeats of this process report jobs in progress.
-  bool ReportsJobs() const { return !this->reported_jobs.empty(); }
+  bool ReportsJobs() const { return !this->reported_jobs.IsEmpty(); }
 
   /// Sends the heartbeats that are due. Must be called every kTick.
   void Tick();
@@ -108,7 +109,8 @@
   void SendTo(const std::string& address, ClusterBoard::Member& member,
               Detail detail);
   void RefreshWork();
-  void WriteJobs(wire::MemberHeartbeat& heartbeat) const;
+  void WriteJobs(const ClusterBoard::Member& receiver,
+                 wire::MemberHeartbeat& heartbeat) const;
   void SendUpdate(bool announce_waiting);
   bool IsUpdateTarget(const ClusterBoard::Member& member) const;
   bool IsOwnDomainEvacuated() const;
@@ -120,7 +122,7 @@
   JobsInProgress jobs_in_progress;
   OpenWorkPeers open_work_source;
   /// Jobs that the heartbeats of the present tick report.
-  JobRuns reported_jobs;
+  ReportedJobs reported_jobs;
   /// Peer addresses of the processes with open tasks or jobs.
   std::set<std::string> open_work_peers;
   base::Timer update_timer;
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -171,7 +171,9 @@
 
 cluster::JobRuns FleetPlacer::RunsOfOthers() const {
   cluster::JobRuns jobs = this->cluster.JobsInProgressElsewhere();
-  AddRuns(jobs, this->remote.HostedRuns());
+  for (const auto& [incarnation, runs] : this->remote.HostedRuns()) {
+    AddRuns(jobs, runs);
+  }
   AddRuns(jobs, this->pool.ForeignRuns());
   return jobs;
 }
@@ -183,6 +185,14 @@
   return jobs;
 }
 
+std::map<std::string, cluster::JobRuns> FleetPlacer::HostedRuns() const {
+  std::map<std::string, cluster::JobRuns> jobs;
+  for (const auto& [incarnation, runs] : this->remote.HostedRuns()) {
+    AddRuns(jobs[incarnation], runs);
+  }
+  return jobs;
+}
+
 void FleetPlacer::SetTasksWaiting(bool waiting) {
   this->cluster.SetTasksWaiting(waiting);
 }
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
   void Stop(const PlacedRun& placed) override;
   cluster::JobRuns RunsOfOthers() const override;
   cluster::JobRuns OrphanedRuns() const override;
+  std::map<std::string, cluster::JobRuns> HostedRuns() const override;
   void SetTasksWaiting(bool waiting) override;
   bool TasksWait() const override;
 
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -658,10 +658,14 @@
   if (open.empty()) this->ending_runs.erase(ending);
 }
 
-cluster::JobRuns JobCoordinator::JobsInProgress() const {
-  cluster::JobRuns in_progress = this->placer.OrphanedRuns();
+cluster::ReportedJobs JobCoordinator::JobsInProgress() const {
+  cluster::ReportedJobs reported;
+  // From their start on: the process that placed them may be lost before it has
+  // reported the job, and this one before it has noticed that.
+  reported.hosted = this->placer.HostedRuns();
+  reported.to_all = this->placer.OrphanedRuns();
   for (const auto& [id, ending] : this->ending_runs) {
-    cluster::AddRun(in_progress, id, ending.last_run);
+    cluster::AddRun(reported.to_all, id, ending.last_run);
   }
   const base::TimePoint now = this->clock.Now();
   for (const auto& [id, job] : this->jobs) {
@@ -670,9 +674,9 @@
         job->awaits_other_runs
             ? job->MayHaveRun()
             : now - job->arrival >= kCopyNotice || !job->IsAwaited();
-    if (is_reported) cluster::AddRun(in_progress, id, job->LastRun());
+    if (is_reported) cluster::AddRun(reported.to_all, id, job->LastRun());
   }
-  return in_progress;
+  return reported;
 }
 
 // Returns whether a task has a run of an earlier submission of its job whose
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/timer.h"
+#include "cluster/reported_jobs.h"
 #include "jobs/capacity_value.h"
 #include "jobs/endpoint_choice.h"
 #include "jobs/job.h"
@@ -88,8 +89,9 @@
 
   /// Returns the jobs that a copy at another process has to wait for: ended
   /// jobs whose runs are being stopped, open jobs whose callers may soon submit
-  /// them again, and jobs with orphaned runs at endpoints of this process.
-  cluster::JobRuns JobsInProgress() const;
+  /// them again, and jobs with runs of other processes at endpoints of this
+  /// process.
+  cluster::ReportedJobs JobsInProgress() const;
 
   /// Returns the number of jobs in flight.
   std::size_t OpenJobs() const { return this->jobs.size(); }
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,12 @@
   /// of the endpoint started them.
   virtual cluster::JobRuns OrphanedRuns() const { return {}; }
 
+  /// Returns the jobs with runs of other processes at the endpoints of this
+  /// process, by the incarnation of the process that placed them.
+  virtual std::map<std::string, cluster::JobRuns> HostedRuns() const {
+    return {};
+  }
+
   /// Sets whether tasks wait for free capacity.
   virtual void SetTasksWaiting(bool waiting) = 0;
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -292,7 +292,7 @@
                             nlohmann::json::error_handler_t::replace),
       catalog.Version(), evacuated.dump(), catalog.evacuations.Revision(),
       catalog.endpoints.size(), this->d->jobs.OpenJobs(),
-      this->d->jobs.JobsInProgress().size(),
+      this->d->jobs.JobsInProgress().to_all.size(),
       this->d->cluster.JobsInProgressElsewhere().size());
   const char* separator = "";
   for (const auto& [id, session] : this->d->pool.Sessions()) {
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -249,10 +249,10 @@
   this->metrics.Count("remote.hosted");
 }
 
-std::vector<RunKey> RemoteRuns::HostedRuns() const {
-  std::vector<RunKey> runs;
+std::map<std::string, std::vector<RunKey>> RemoteRuns::HostedRuns() const {
+  std::map<std::string, std::vector<RunKey>> runs;
   for (const auto& [key, run] : this->hosted) {
-    runs.emplace_back(run.task, run.run);
+    runs[std::get<1>(key)].emplace_back(run.task, run.run);
   }
   return runs;
 }
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -64,8 +64,9 @@
   /// Checks for lost members and ends or stops the runs that depend on them.
   void CheckMembers();
 
-  /// Returns the runs of other processes at endpoints of this process.
-  std::vector<RunKey> HostedRuns() const;
+  /// Returns the runs of other processes at endpoints of this process, by the
+  /// incarnation of the process that placed them.
+  std::map<std::string, std::vector<RunKey>> HostedRuns() const;
 
   /// Returns those of them that are being stopped since the process that placed
   /// them is lost.
--- a/tests/jobs/copied_job_test.cc
+++ b/tests/jobs/copied_job_test.cc
@@ -208,6 +208,47 @@
   EXPECT_EQ(this->StartsOf(job), 1U);
 }
 
+// Guards against TWICE (review/7): the coordinator of a job that was too young
+// to be reported was lost, and then, before it noticed that, the holder of its
+// run, whose lease outlasts the time until the copy.
+TEST_F(CopiedJobTest, CopyWaitsForRunWhoseCoordinatorAndHolderWereLost) {
+  const jobs::JobRequest job = this->fleet.NewRequest(
+      kLongTimeoutPath, 1, seconds(6), seconds(6), RunEndKind::kDone);
+  const std::string coordinator = this->NorthProcess(false);
+  const std::string holder = this->NorthProcess(true);
+  this->Submit(coordinator, job);
+  this->fleet.Run(milliseconds(250));
+  this->fleet.Kill(coordinator);
+  this->fleet.Run(milliseconds(590));
+  this->fleet.Kill(holder);
+  this->fleet.Run(kRepeatDelay - milliseconds(590));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+  this->Submit("south0", job);
+  this->fleet.Run(milliseconds(250));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+  this->fleet.Run(seconds(2));
+  EXPECT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 0U);
+}
+
+// Guards against tasks that wait as if for a copy, since the holders of the
+// endpoints report the runs of their own job: with that, fewer large jobs were
+// served.
+TEST_F(CopiedJobTest, TasksDoNotWaitForRunsOfTheirOwnJob) {
+  const std::string coordinator = this->NorthProcess(false);
+  // Each of the two endpoints has room for nine tasks, one of which is taken.
+  constexpr int kTasks = 30;
+  const jobs::JobRequest job =
+      this->fleet.NewRequest(kLongTimeoutPath, kTasks, milliseconds(300),
+                             milliseconds(300), RunEndKind::kDone);
+  this->Submit(coordinator, job);
+  this->fleet.Run(milliseconds(700));
+  EXPECT_EQ(
+      this->fleet.Process(coordinator).metrics.Counter("jobs.copies_delayed"),
+      0U);
+  ASSERT_TRUE(this->answer.has_value());
+  EXPECT_EQ(this->answer->end, JobEnd::kComplete);
+}
+
 // Guards against TWICE (issue 38): an open submission that found no free
 // endpoint was not reported, and was placed just after its copy.
 TEST_F(CopiedJobTest, CopyWaitsForOpenSubmissionThatIsPlacedLate) {
