Cluster: a process that has just started gets reports of those lost before it

Cause: reports pass between live processes only. The others keep the last report of a lost process for 2.1 s, but did not pass it on.

Change: in the first 2.1 s in which a member is live, heartbeats to it include the reports of members that have missed a heartbeat. No report from before counts after that.

--- a/src/libs/cluster/cluster_board.h
+++ b/src/libs/cluster/cluster_board.h
@@ -35,6 +35,8 @@
     base::TimePoint last_heard;
     /// Whether its heartbeats arrive in time.
     bool live = false;
+    /// Time since which this process has counted it as live without a break.
+    base::TimePoint live_since;
     /// Its steady clock, in milliseconds, in the heartbeat since which it has
     /// been live without a break.
     std::uint64_t live_since_steady_ms = 0;
@@ -94,6 +96,19 @@
     return member.last.hears_receiver();
   }
 
+  /// Adds the jobs of the reports of `member` that count at `now`.
+  static void AddReportedJobs(const Member& member, base::TimePoint now,
+                              JobRuns& jobs) {
+    const JobReport& previous = member.previous_job_report;
+    const JobReport& latest = member.job_report;
+    if (now - previous.received <= kJobReportValidity) {
+      AddRuns(jobs, previous.jobs);
+    }
+    if (member.live || now - latest.received <= kJobReportValidity) {
+      AddRuns(jobs, latest.jobs);
+    }
+  }
+
   /// Returns the live member at `address`, or null.
   const Member* FindLive(const std::string& address) const {
     const auto found = this->members.find(address);
--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -43,11 +43,6 @@
 // counts as gone. Covers the time to detect the loss, one write and one read of
 // the presence record, and a margin.
 constexpr base::Duration kGoneAfter = milliseconds(1'500);
-// Time for which the last report of a lost process counts. The holder of its
-// runs stops them within 1.1 s of the loss, and reports them until they have
-// ended. If the holder is lost before, their leases end 1.05 s after its last
-// order.
-constexpr base::Duration kJobReportValidity = milliseconds(2'100);
 constexpr base::Duration kAnnounceRetry = milliseconds(700);
 
 HeldEndpoint Decode(const wire::HeldEndpoint& reported, base::TimePoint now) {
@@ -166,14 +161,7 @@
   JobRuns jobs;
   const base::TimePoint now = this->parts.clock.Now();
   for (const auto& [address, member] : this->board.members) {
-    const JobReport& previous = member.previous_job_report;
-    const JobReport& latest = member.job_report;
-    if (now - previous.received <= kJobReportValidity) {
-      AddRuns(jobs, previous.jobs);
-    }
-    if (member.live || now - latest.received <= kJobReportValidity) {
-      AddRuns(jobs, latest.jobs);
-    }
+    ClusterBoard::AddReportedJobs(member, now, jobs);
   }
   return jobs;
 }
@@ -542,7 +530,10 @@
     member.unrelated = true;
     return;
   }
-  if (joined) member.live_since_steady_ms = heartbeat.steady_ms();
+  if (joined) {
+    member.live_since = this->parts.clock.Now();
+    member.live_since_steady_ms = heartbeat.steady_ms();
+  }
   // A queued heartbeat for the process that this VM ran before a reboot
   // confirms readings of a clock that has begun anew since.
   if (heartbeat.receiver_steady_ms() <= this->OwnSteadyMs()) {
--- a/src/libs/cluster/heartbeat_sender.cc
+++ b/src/libs/cluster/heartbeat_sender.cc
@@ -19,6 +19,8 @@
 // runs of that process must have been stopped, so processes with open runs use
 // kShortInterval whatever their roles are.
 constexpr int kMaxSilentIntervals = 4;
+// Silence after which a member may be lost: it has missed a heartbeat.
+constexpr base::Duration kSilence = kShortInterval * 3 / 2;
 // Number of ticks after which heartbeats to live members include the list of
 // live peers again.
 constexpr std::uint64_t kGossipTicks = 10;
@@ -162,6 +164,22 @@
   for (const auto& [incarnation, jobs] : this->reported_jobs.hosted) {
     if (incarnation != receiver.announce.incarnation()) write(jobs);
   }
+  // A process that has just started has no reports of those that were lost
+  // before, and a copy of one of their jobs may reach it.
+  const bool is_new =
+      receiver.live &&
+      this->clock.Now() - receiver.live_since <= kJobReportValidity;
+  if (is_new) write(this->JobsOfSilentMembers());
+}
+
+JobRuns HeartbeatSender::JobsOfSilentMembers() const {
+  const base::TimePoint now = this->clock.Now();
+  JobRuns jobs;
+  for (const auto& [address, member] : this->board.members) {
+    if (member.live && now - member.last_heard < kSilence) continue;
+    ClusterBoard::AddReportedJobs(member, now, jobs);
+  }
+  return jobs;
 }
 
 void HeartbeatSender::MarkHeldChanged() {
--- a/src/libs/cluster/heartbeat_sender.h
+++ b/src/libs/cluster/heartbeat_sender.h
@@ -111,6 +111,7 @@
   void RefreshWork();
   void WriteJobs(const ClusterBoard::Member& receiver,
                  wire::MemberHeartbeat& heartbeat) const;
+  JobRuns JobsOfSilentMembers() const;
   void SendUpdate(bool announce_waiting);
   bool IsUpdateTarget(const ClusterBoard::Member& member) const;
   bool IsOwnDomainEvacuated() const;
--- a/tests/jobs/copied_job_test.cc
+++ b/tests/jobs/copied_job_test.cc
@@ -230,6 +230,33 @@
   EXPECT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 0U);
 }
 
+// Guards against TWICE (review/7): the same, and the copy reaches the process
+// that took the place of the coordinator after the holder was lost, and so has
+// no report of the holder.
+TEST_F(CopiedJobTest, CopyAtRestartedCoordinatorWaitsForRunAtLostHolder) {
+  this->fleet.AddProcess("west0", "west");
+  this->fleet.Run(seconds(3));
+  // Leaves no room in south until the copy comes.
+  this->fleet.Submit("south0", kLongTimeoutPath, 9, milliseconds(600));
+  this->fleet.Run(milliseconds(50));
+  const jobs::JobRequest job = this->fleet.NewRequest(
+      kLongTimeoutPath, 1, seconds(6), seconds(6), RunEndKind::kDone);
+  const std::string holder = this->NorthProcess(true);
+  this->Submit("west0", job);
+  this->fleet.Run(milliseconds(250));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+  this->fleet.Kill("west0");
+  this->fleet.Run(milliseconds(590));
+  this->fleet.Kill(holder);
+  this->fleet.Run(milliseconds(10));
+  this->fleet.AddProcess("west0", "west");
+  this->fleet.Run(kRepeatDelay - milliseconds(600));
+  ASSERT_EQ(this->fleet.endpoints.RunningAt(kNorthEndpoint), 2U);
+  this->Submit("west0", job);
+  this->fleet.Run(milliseconds(250));
+  EXPECT_EQ(this->StartsOf(job), 1U);
+}
+
 // Guards against tasks that wait as if for a copy, since the holders of the
 // endpoints report the runs of their own job: with that, fewer large jobs were
 // served.
