Http: release connections that their clients have closed

A daemon that got 5000 short connections kept their descriptors.

At max_connections, further ones were refused. The readiness and metrics servers had no limit and lost a descriptor with each check.

Change: ConnectionGuard closes idle connections whose clients have closed them, by the state of the TCP connection that it reads anyway, at each check and when there are too many. The kernel counts the end of a stream as a byte, which made such connections look like incomplete headers.

--- a/src/libs/admin/metrics_front.h
+++ b/src/libs/admin/metrics_front.h
@@ -19,6 +19,12 @@
   /// called on each request for `/state`.
   MetricsFront(base::Metrics& metrics, std::function<std::string()> dump);
 
+  /// Limits the connections with the default limits. Must be called before
+  /// Listen().
+  void LimitConnections(base::Clock& clock) {
+    this->server.LimitConnections(clock, {});
+  }
+
   /// Listens on `address` (`IP:port`) and returns the port.
   base::Result<std::uint16_t> Listen(const std::string& address);
 
--- a/src/libs/http/connection_guard.cc
+++ b/src/libs/http/connection_guard.cc
@@ -23,15 +23,33 @@
 constexpr int kChecksPerTimeout = 4;
 constexpr base::Duration kMaxCheckInterval = std::chrono::seconds(1);
 
-// Returns the number of bytes received on a TCP connection; 0 when unknown.
-std::uint64_t ReceivedBytes(GSocket* socket) {
+// States of a TCP connection in tcp_info (Linux, include/net/tcp_states.h).
+constexpr int kTcpClose = 7;
+constexpr int kTcpCloseWait = 8;
+// Minimum pause between two searches for closed connections when there are too
+// many.
+constexpr base::Duration kMinSearchPause = std::chrono::milliseconds(100);
+
+/// Describes a TCP connection.
+struct TcpState {
+  /// Number of bytes received; 0 when unknown.
+  std::uint64_t received_bytes = 0;
+  /// Whether the client has closed or reset the connection.
+  bool closed_by_client = false;
+};
+
+TcpState TcpStateOf(GSocket* socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
   if (getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info,
                  &size) != 0) {
-    return 0;
+    return {};
   }
-  return info.tcpi_bytes_received;
+  const bool closed =
+      info.tcpi_state == kTcpCloseWait || info.tcpi_state == kTcpClose;
+  // The kernel counts the end of the stream as a byte.
+  const std::uint64_t end = closed && info.tcpi_bytes_received > 0 ? 1 : 0;
+  return {info.tcpi_bytes_received - end, closed};
 }
 
 }  // namespace
@@ -87,8 +105,12 @@
 
   // Returns false when there are too many connections.
   bool Add(GSocket* socket) {
-    if (this->connections.size() >= this->limits.max_connections)
-      this->RemoveClosed();
+    const base::TimePoint now = this->clock.Now();
+    if (this->connections.size() >= this->limits.max_connections &&
+        now - this->last_search >= kMinSearchPause) {
+      this->last_search = now;
+      this->ReleaseClosed();
+    }
     if (this->connections.size() >= this->limits.max_connections) {
       ++this->refused;
       g_socket_shutdown(socket, TRUE, TRUE, nullptr);
@@ -128,6 +150,27 @@
     });
   }
 
+  // Closes idle connections that their clients have closed. libsoup 3.2 reads
+  // the end of the stream, but keeps the socket.
+  void ReleaseClosed() {
+    for (const auto& [socket, connection] : this->connections) {
+      if (connection.phase != Phase::kFirstByte) continue;
+      if (!g_socket_is_closed(socket)) this->Release(socket, connection);
+    }
+    this->RemoveClosed();
+  }
+
+  // Closes an idle connection if its client has closed it and has sent nothing
+  // before that. Returns the number of bytes received.
+  static std::uint64_t Release(GSocket* socket, const Connection& connection) {
+    const TcpState state = TcpStateOf(socket);
+    if (state.closed_by_client &&
+        state.received_bytes <= connection.bytes_before) {
+      g_socket_close(socket, nullptr);
+    }
+    return state.received_bytes;
+  }
+
   void Enter(SoupServerMessage* message, Phase phase) {
     const auto socket = this->messages.find(message);
     if (socket == this->messages.end()) return;
@@ -138,7 +181,7 @@
     connection.phase = phase;
     connection.phase_start = this->clock.Now();
     if (phase == Phase::kFirstByte)
-      connection.bytes_before = ReceivedBytes(found->first);
+      connection.bytes_before = TcpStateOf(found->first).received_bytes;
   }
 
   void CloseOverdue() {
@@ -152,10 +195,11 @@
     this->RemoveClosed();
     for (auto& [socket, connection] : this->connections) {
       if (connection.phase == Phase::kFirstByte &&
-          ReceivedBytes(socket) > connection.bytes_before) {
+          Release(socket, connection) > connection.bytes_before) {
         connection.phase = Phase::kHeaders;
         connection.phase_start = now;
       }
+      if (g_socket_is_closed(socket)) continue;
       const base::Duration age = now - connection.phase_start;
       const char* cause = this->OverdueCause(connection.phase, age);
       if (cause == nullptr) continue;
@@ -195,6 +239,8 @@
   std::unordered_map<GSocket*, Connection> connections;
   /// Sockets of the requests that are read or handled.
   std::unordered_map<SoupServerMessage*, GSocket*> messages;
+  /// Time of the latest search for closed connections at the maximum.
+  base::TimePoint last_search;
   base::Timer check_timer;
 };
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -218,6 +218,7 @@
   if (!this->d->settings.metrics_address.empty()) {
     this->d->metrics_front = std::make_unique<admin::MetricsFront>(
         this->d->metrics, [this] { return this->Dump(); });
+    this->d->metrics_front->LimitConnections(this->d->clock);
     const auto metrics =
         this->d->metrics_front->Listen(this->d->settings.metrics_address);
     if (!metrics) return metrics.GetError();
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -119,6 +120,39 @@
 }
 
 // Guards against connections with half of a request that stay open forever.
+// Guards against sockets that stay open when their clients have closed the
+// connections: after 2000 of them, new connections were refused.
+TEST_F(ConnectionLimitsTest, ConnectionThatClientHasClosedIsReleased) {
+  const int client = this->Connect();
+  Write(client, kRequest);
+  ASSERT_TRUE(RunLoopUntil([this] { return this->handled == 1; }));
+  RunLoopFor(50);
+  std::array<char, 1'000> answer{};
+  EXPECT_GT(recv(client, answer.data(), answer.size(), MSG_DONTWAIT), 0);
+  ASSERT_EQ(shutdown(client, SHUT_WR), 0);
+  RunLoopFor(300);
+  EXPECT_TRUE(IsClosed(client));
+  EXPECT_EQ(this->server.ConnectionCount(), 0U);
+  close(client);
+}
+
+// The same for clients that come faster than the server looks for connections
+// that were closed.
+TEST_F(ConnectionLimitsTest, ConnectionsThatClientsHaveClosedMakeRoom) {
+  const int rounds = 5;
+  for (int round = 0; round < rounds; ++round) {
+    for (std::size_t i = 0; i < kMaxConnections; ++i) {
+      const int client = this->Connect();
+      Write(client, kRequest);
+      const int handled_before = this->handled;
+      ASSERT_TRUE(RunLoopUntil(
+          [this, handled_before] { return this->handled > handled_before; }));
+      close(client);
+    }
+    RunLoopFor(100);
+  }
+}
+
 TEST_F(ConnectionLimitsTest, ConnectionWithIncompleteHeadersIsClosed) {
   const int client = this->Connect();
   Write(client, "POST /a HTTP/1.1\r\nHost: h");
