Node: the drain is a class of its own, and logs why a process stops

Change: Drain (src/libs/node) has the times, behind the interface Drainable; PlatformNode implements it. "Stopping." has requested_ms_ago, "Stopped." has cause and open_requests. PlatformNode names the address that it has bound.

--- /dev/null
+++ b/src/libs/node/drain.cc
@@ -0,0 +1,98 @@
+#include "node/drain.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "base/logger.h"
+#include "node/drainable.h"
+
+namespace hawthornwheel::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Logger kLog("drain");
+
+// Minimum time for which a stopping process continues to serve. The balancer
+// removes a process only after two failed readiness checks, 1 s apart, and
+// callers keep their connections open.
+constexpr base::Duration kMinDrainTime = milliseconds(2'500);
+constexpr base::Duration kCheckInterval = milliseconds(100);
+// Remaining time at which open jobs are interrupted: two checks, the answers,
+// and the exit of a process with a tenth of a core.
+constexpr base::Duration kInterruptReserve = milliseconds(600);
+// Remaining time from which on all new jobs are rejected. Until then, only
+// those are that cannot end before the process stops.
+constexpr base::Duration kNewJobReserve = milliseconds(1'900);
+
+}  // namespace
+
+const char* Drain::NameOf(Cause cause) {
+  constexpr std::array kNames = {"idle", "interrupted", "out of time"};
+  return kNames[static_cast<std::size_t>(cause)];
+}
+
+Drain::Drain(base::Clock& clock, Drainable& work, base::Duration time,
+             std::function<void()> on_drained)
+    : clock(clock),
+      work(work),
+      time(time),
+      on_drained(std::move(on_drained)),
+      check_timer(clock) {}
+
+void Drain::Begin(base::TimePoint requested_at) {
+  this->begun = true;
+  this->requested_at = requested_at;
+  this->begun_at = this->clock.Now();
+  kLog.Info("Stopping. open_jobs={} requested_ms_ago={}", this->work.OpenJobs(),
+            (this->begun_at - requested_at) / milliseconds(1));
+  this->LimitNewJobs();
+  this->check_timer.StartPeriodic(kCheckInterval, [this] { this->Check(); });
+}
+
+base::Duration Drain::TimeLeft() const {
+  return this->begun_at + this->time - this->clock.Now();
+}
+
+base::Duration Drain::InterruptReserve() const { return kInterruptReserve; }
+
+// Makes new jobs end before the process stops.
+void Drain::LimitNewJobs() {
+  this->work.EndNewJobsBy(this->begun_at + this->time -
+                          this->InterruptReserve());
+}
+
+void Drain::Check() {
+  this->LimitNewJobs();
+  const base::Duration left = this->TimeLeft();
+  if (left <= kNewJobReserve) this->work.RejectNewJobs();
+  const bool is_idle = this->work.OpenJobs() == 0 && !this->work.HostsTasks() &&
+                       !this->work.HasOpenRequests();
+  if (is_idle && this->clock.Now() - this->begun_at >= kMinDrainTime) {
+    this->Finish(this->interrupted ? Cause::kInterrupted : Cause::kIdle);
+    return;
+  }
+  if (left > this->InterruptReserve()) return;
+  if (this->work.OpenJobs() > 0) {
+    // The answers are sent in the next iteration of the event loop, so the
+    // process stops at a later check.
+    this->interrupted = true;
+    this->work.InterruptJobs();
+    return;
+  }
+  this->Finish(this->interrupted ? Cause::kInterrupted : Cause::kOutOfTime);
+}
+
+void Drain::Hasten() { this->Finish(Cause::kInterrupted); }
+
+void Drain::Finish(Cause cause) {
+  this->check_timer.Stop();
+  kLog.Info("Stopped. cause=\"{}\" drain_ms={} open_jobs={} open_requests={}",
+            NameOf(cause),
+            (this->clock.Now() - this->begun_at) / milliseconds(1),
+            this->work.OpenJobs(), this->work.HasOpenRequests());
+  this->on_drained();
+}
+
+}  // namespace hawthornwheel::node
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -11,16 +11,18 @@
 #include <vector>
 
 #include "admin/metrics_front.h"
+#include "base/address.h"
 #include "base/glib_clock.h"
 #include "base/logger.h"
 #include "base/metrics.h"
-#include "base/timer.h"
 #include "catalog/catalog_controller.h"
 #include "cluster/cluster_controller.h"
 #include "http/http_server.h"
 #include "jobs/fleet_placer.h"
 #include "jobs/job_coordinator.h"
 #include "jobs/job_relay.h"
+#include "node/drain.h"
+#include "node/drainable.h"
 #include "peers/zmq_transport.h"
 #include "platform/job_front.h"
 #include "platform/json_record_decoder.h"
@@ -36,18 +38,6 @@
 
 constexpr base::Logger kLog("node");
 
-// Minimum time for which a stopping process continues to serve. The balancer
-// removes a process only after two failed readiness checks, 1 s apart, and
-// callers keep their connections open.
-constexpr base::Duration kMinDrainTime = milliseconds(2'500);
-constexpr base::Duration kDrainCheckInterval = milliseconds(100);
-// Remaining drain time at which open jobs are interrupted: two checks, the
-// answers, and the exit of a process with a tenth of a core.
-constexpr base::Duration kInterruptReserve = milliseconds(600);
-// Remaining drain time from which on all new jobs are rejected. Until then,
-// only those are that cannot end before the process stops.
-constexpr base::Duration kNewJobReserve = milliseconds(1'900);
-
 // Whether the settings file has faults that its last reload found.
 constexpr char kRefusedMetric[] = "settings.refused";
 
@@ -60,6 +50,11 @@
   return fmt::format("{}-{:08x}{:08x}", name, high, low);
 }
 
+// Returns `address` with its port replaced by `port`.
+std::string WithPort(const std::string& address, std::uint16_t port) {
+  return fmt::format("{}:{}", base::ParseAddress(address)->ip, port);
+}
+
 // Returns the announcement of this process to its peers.
 wire::MemberAnnounce AnnounceOf(const PlatformNodeSettings& settings) {
   wire::MemberAnnounce self;
@@ -72,11 +67,10 @@
 
 }  // namespace
 
-class PlatformNode::Private {
+class PlatformNode::Private final : public Drainable {
  public:
   Private(PlatformNodeSettings settings, std::function<void()> on_stopped)
       : settings(std::move(settings)),
-        on_stopped(std::move(on_stopped)),
         transport(this->metrics),
         store(this->clock, this->settings.store_address),
         orders(this->clock),
@@ -95,7 +89,8 @@
         front(this->relay, this->metrics,
               {[this] { return this->IsReady(); },
                [this] { return this->cluster.Board().leaving; }}),
-        drain_timer(this->clock) {}
+        drain(this->clock, *this, this->settings.drain_time,
+              std::move(on_stopped)) {}
 
   // Returns whether the balancer may send callers to this process.
   bool IsReady() const {
@@ -130,53 +125,35 @@
     this->pool.SetListener([this] { this->jobs.SchedulePlacement(); });
   }
 
-  // Returns the number of jobs that this process runs, plus the jobs of its
-  // callers that other processes run.
-  std::size_t OpenJobs() const {
+  std::size_t OpenJobs() const override {
     return this->jobs.OpenJobs() + this->relay.ForwardedJobCount();
   }
 
-  // Makes new jobs end before the process stops. A reload may change the time.
-  void LimitNewJobs() {
-    this->jobs.EndNewJobsBy(this->drain_start + this->settings.drain_time -
-                            kInterruptReserve);
+  bool HostsTasks() const override {
+    return this->remote.HostedTaskCount() > 0;
   }
 
-  // Checks the progress of the drain; called every kDrainCheckInterval. Stops
-  // the process when no job, no task of another process and no caller's request
-  // is open, but not before kMinDrainTime. Rejects new jobs when kNewJobReserve
-  // of the drain time is left. When kInterruptReserve is left, interrupts the
-  // open jobs and stops the process once they are answered.
-  void CheckDrained() {
-    const base::Duration elapsed = this->clock.Now() - this->drain_start;
-    const bool idle = this->OpenJobs() == 0 &&
-                      this->remote.HostedTaskCount() == 0 &&
-                      this->front.OpenRequests() == 0;
-    this->LimitNewJobs();
-    if (elapsed >= this->settings.drain_time - kNewJobReserve) {
-      this->jobs.RejectNewJobs();
-    }
-    const bool time_is_up =
-        elapsed >= this->settings.drain_time - kInterruptReserve;
-    if ((elapsed < kMinDrainTime || !idle) && !time_is_up) return;
-    if (this->OpenJobs() > 0) {
-      // The answers are sent in the next iteration of the event loop, so the
-      // process stops at a later check.
-      this->relay.InterruptAll();
-      this->jobs.InterruptAll();
-      // Reports the runs that are being stopped, since copies of their jobs may
-      // arrive when this process has ended.
-      this->cluster.SendHeartbeats();
-      return;
-    }
-    this->drain_timer.Stop();
-    kLog.Info("Stopped. drain_ms={} open_jobs={}", elapsed / milliseconds(1),
-              this->OpenJobs());
-    this->on_stopped();
+  bool HasOpenRequests() const override {
+    return this->front.OpenRequests() > 0;
   }
 
+  void EndNewJobsBy(base::TimePoint time) override {
+    this->jobs.EndNewJobsBy(time);
+  }
+
+  void RejectNewJobs() override { this->jobs.RejectNewJobs(); }
+
+  void InterruptJobs() override {
+    this->relay.InterruptAll();
+    this->jobs.InterruptAll();
+    // Reports the runs that are being stopped, since copies of their jobs may
+    // arrive when this process has ended.
+    this->cluster.SendHeartbeats();
+  }
+
+  void Disconnect() override {}
+
   PlatformNodeSettings settings;
-  std::function<void()> on_stopped;
   base::GlibClock clock;
   base::Metrics metrics;
   peers::ZmqTransport transport;
@@ -191,9 +168,10 @@
   jobs::JobCoordinator jobs;
   jobs::JobRelay relay;
   platform::JobFront front;
+  /// `IP:port` for callers, with the port that is bound.
+  std::string caller_address;
   std::unique_ptr<admin::MetricsFront> metrics_front;
-  base::Timer drain_timer;
-  base::TimePoint drain_start;
+  Drain drain;
   /// Faults of the settings file at its last reload; empty if it was applied.
   std::vector<std::string> refused_settings;
 };
@@ -215,6 +193,8 @@
   const auto front_ports = this->d->front.Listen(
       this->d->settings.caller_address, this->d->settings.ready_address);
   if (!front_ports) return front_ports.GetError();
+  this->d->caller_address =
+      WithPort(this->d->settings.caller_address, front_ports->callers);
   if (!this->d->settings.metrics_address.empty()) {
     this->d->metrics_front = std::make_unique<admin::MetricsFront>(
         this->d->metrics, [this] { return this->Dump(); });
@@ -241,6 +221,7 @@
     kLog.Warning("Changed addresses take effect at the next start.");
   }
   current.drain_time = settings.drain_time;
+  this->d->drain.SetTime(settings.drain_time);
   current.runs = settings.runs;
   current.jobs = settings.jobs;
   current.weight = settings.weight;
@@ -266,17 +247,17 @@
 }
 
 void PlatformNode::Stop() {
-  if (this->d->cluster.Board().leaving) {
-    this->d->on_stopped();
+  if (this->d->drain.HasBegun()) {
+    this->d->drain.Hasten();
     return;
   }
-  kLog.Info("Stopping. open_jobs={}", this->d->jobs.OpenJobs());
   this->d->cluster.Leave();
   this->d->pool.Reconcile();
-  this->d->drain_start = this->d->clock.Now();
-  this->d->LimitNewJobs();
-  this->d->drain_timer.StartPeriodic(kDrainCheckInterval,
-                                     [this] { this->d->CheckDrained(); });
+  this->d->drain.Begin(this->d->clock.Now());
+}
+
+std::string PlatformNode::CallerAddress() const {
+  return this->d->caller_address;
 }
 
 std::string PlatformNode::Dump() const {
--- a/src/libs/node/platform_node.h
+++ b/src/libs/node/platform_node.h
@@ -36,6 +36,10 @@
   /// open jobs.
   void Stop();
 
+  /// Returns the address at which the process serves callers, `IP:port`, after
+  /// Start().
+  std::string CallerAddress() const;
+
   /// Returns the state of the process as JSON.
   std::string Dump() const;
 
