--- a/src/libs/http/connection_guard.cc
+++ b/src/libs/http/connection_guard.cc
@@ -12,6 +12,7 @@
 
 #include "base/logger.h"
 #include "base/timer.h"
+#include "http/peer_state.h"
 
 namespace hawthornwheel::http {
 namespace {
@@ -251,6 +252,15 @@
 
 ConnectionGuard::~ConnectionGuard() = default;
 
+bool ConnectionGuard::HasUnreadBytes() const {
+  return std::any_of(this->d->connections.begin(), this->d->connections.end(),
+                     [](const auto& item) {
+                       return !g_socket_is_closed(item.first) &&
+                              PeerStateOf(g_socket_get_fd(item.first)) ==
+                                  PeerState::kSending;
+                     });
+}
+
 std::size_t ConnectionGuard::ConnectionCount() const {
   this->d->RemoveClosed();
   return this->d->connections.size();
--- a/src/libs/http/connection_guard.h
+++ b/src/libs/http/connection_guard.h
@@ -22,6 +22,9 @@
   /// Returns the number of open connections.
   std::size_t ConnectionCount() const;
 
+  /// Returns whether a client has sent bytes that have not been read.
+  bool HasUnreadBytes() const;
+
  private:
   class Private;
   std::unique_ptr<Private> d;
--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -265,6 +265,26 @@
   g_slist_free(listeners);
 }
 
+void HttpServer::Disconnect() {
+  const EventContext::Scope scope(*this->d->context);
+  soup_server_disconnect(this->d->server);
+}
+
+bool HttpServer::HasUnreadRequests() const {
+  if (this->d->guard != nullptr && this->d->guard->HasUnreadBytes())
+    return true;
+  GSList* listeners = soup_server_get_listeners(this->d->server);
+  bool has_connections = false;
+  for (GSList* item = listeners; item != nullptr; item = item->next) {
+    auto* listener = static_cast<GSocket*>(item->data);
+    has_connections =
+        has_connections || (!g_socket_is_closed(listener) &&
+                            g_socket_condition_check(listener, G_IO_IN) != 0);
+  }
+  g_slist_free(listeners);
+  return has_connections;
+}
+
 std::size_t HttpServer::OpenRequests() const { return *this->d->open_requests; }
 
 std::size_t HttpServer::ConnectionCount() const {
--- a/src/libs/http/http_server.h
+++ b/src/libs/http/http_server.h
@@ -39,6 +39,14 @@
   /// Stops accepting new connections.
   void StopListening();
 
+  /// Closes all connections and stops accepting new ones. No further request
+  /// is handled; answers that are not written yet are lost.
+  void Disconnect();
+
+  /// Returns whether bytes or connections have arrived that have not been read
+  /// or accepted. Knows the bytes only of a server with limits.
+  bool HasUnreadRequests() const;
+
   /// Returns the number of requests that have not been answered yet.
   std::size_t OpenRequests() const;
 
--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -92,6 +92,9 @@
             NameOf(cause),
             (this->clock.Now() - this->begun_at) / milliseconds(1),
             this->work.OpenJobs(), this->work.HasOpenRequests());
+  // The rest of this iteration of the event loop could read a request that
+  // nobody would answer.
+  this->work.Disconnect();
   this->on_drained();
 }
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -134,7 +134,7 @@
   }
 
   bool HasOpenRequests() const override {
-    return this->front.OpenRequests() > 0;
+    return this->front.HasOpenRequests();
   }
 
   void EndNewJobsBy(base::TimePoint time) override {
@@ -151,7 +151,7 @@
     this->cluster.SendHeartbeats();
   }
 
-  void Disconnect() override {}
+  void Disconnect() override { this->front.Disconnect(); }
 
   PlatformNodeSettings settings;
   base::GlibClock clock;
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -153,6 +153,43 @@
   }
 }
 
+// The next three tests guard against requests that a stopping process leaves
+// without an answer (issue 49).
+TEST_F(ConnectionLimitsTest, RequestThatHasArrivedIsReported) {
+  const int client = this->Connect();
+  RunLoopFor(50);
+  EXPECT_FALSE(this->server.HasUnreadRequests());
+  Write(client, kRequest);
+  EXPECT_TRUE(this->server.HasUnreadRequests());
+  ASSERT_TRUE(RunLoopUntil([this] { return this->handled == 1; }));
+  EXPECT_FALSE(this->server.HasUnreadRequests());
+  close(client);
+}
+
+TEST_F(HttpServerTest, ConnectionThatIsNotAcceptedIsReported) {
+  this->Listen();
+  EXPECT_FALSE(this->server.HasUnreadRequests());
+  const int client = this->Connect();
+  EXPECT_TRUE(this->server.HasUnreadRequests());
+  RunLoopFor(50);
+  EXPECT_FALSE(this->server.HasUnreadRequests());
+  close(client);
+}
+
+TEST_F(ConnectionLimitsTest, NothingIsReadAfterDisconnect) {
+  const int client = this->Connect();
+  RunLoopFor(50);
+  Write(client, kRequest);
+  const int other = this->Connect();
+  Write(other, kRequest);
+  this->server.Disconnect();
+  RunLoopFor(50);
+  EXPECT_EQ(this->handled, 0);
+  EXPECT_EQ(this->server.ConnectionCount(), 0U);
+  close(client);
+  close(other);
+}
+
 TEST_F(ConnectionLimitsTest, ConnectionWithIncompleteHeadersIsClosed) {
   const int client = this->Connect();
   Write(client, "POST /a HTTP/1.1\r\nHost: h");
--- a/tests/node/drain_test.cc
+++ b/tests/node/drain_test.cc
@@ -117,6 +117,14 @@
   EXPECT_TRUE(this->stopped);
 }
 
+// Guards against requests that are read after the process has decided to stop.
+TEST_F(DrainTest, CallersAreDisconnectedBeforeTheEnd) {
+  this->drain.Begin(this->clock.Now());
+  this->AdvanceInSteps(milliseconds(2'600));
+  ASSERT_TRUE(this->stopped);
+  EXPECT_FALSE(this->connected_at_stop);
+}
+
 TEST_F(DrainTest, ChangedTimeAppliesToDrainThatHasBegun) {
   this->work.jobs = 1;
   this->drain.Begin(this->clock.Now());
