--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -22,6 +22,8 @@
 // Remaining time at which open jobs are interrupted: two checks, the answers,
 // and the exit of a process with a tenth of a core.
 constexpr base::Duration kInterruptReserve = milliseconds(600);
+// Remaining time at which the process ends, whatever is open.
+constexpr base::Duration kExitReserve = milliseconds(150);
 // Remaining time from which on all new jobs are rejected. Until then, only
 // those are that cannot end before the process stops.
 constexpr base::Duration kNewJobReserve = milliseconds(1'900);
@@ -81,7 +83,11 @@
     this->work.InterruptJobs();
     return;
   }
-  this->Finish(this->interrupted ? Cause::kInterrupted : Cause::kOutOfTime);
+  if (!this->work.HasOpenRequests()) {
+    this->Finish(this->interrupted ? Cause::kInterrupted : Cause::kIdle);
+  } else if (left <= kExitReserve) {
+    this->Finish(Cause::kOutOfTime);
+  }
 }
 
 void Drain::Hasten() { this->Finish(Cause::kInterrupted); }
--- a/tests/node/drain_test.cc
+++ b/tests/node/drain_test.cc
@@ -117,6 +117,28 @@
   EXPECT_TRUE(this->stopped);
 }
 
+// Guards against answers that a process with little processor time has not
+// written when it ends (issue 49).
+TEST_F(DrainTest, AnswersOfInterruptedJobsAreWrittenBeforeTheEnd) {
+  this->work.jobs = 1;
+  this->work.answers_are_slow = true;
+  this->drain.Begin(this->clock.Now());
+  this->AdvanceInSteps(milliseconds(5'700));
+  EXPECT_EQ(this->work.interrupts, 1);
+  EXPECT_FALSE(this->stopped);
+  this->work.open_requests = false;
+  this->AdvanceInSteps(milliseconds(110));
+  EXPECT_TRUE(this->stopped);
+}
+
+TEST_F(DrainTest, ProcessEndsInTimeWithOpenRequests) {
+  this->work.jobs = 1;
+  this->work.answers_are_slow = true;
+  this->drain.Begin(this->clock.Now());
+  this->AdvanceInSteps(kDrainTime - milliseconds(10));
+  EXPECT_TRUE(this->stopped);
+}
+
 // Guards against requests that are read after the process has decided to stop.
 TEST_F(DrainTest, CallersAreDisconnectedBeforeTheEnd) {
   this->drain.Begin(this->clock.Now());
