--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -75,7 +75,7 @@
     this->Finish(this->interrupted ? Cause::kInterrupted : Cause::kIdle);
     return;
   }
-  if (left > this->InterruptReserve()) return;
+  if (!this->hastened && left > this->InterruptReserve()) return;
   if (this->work.OpenJobs() > 0) {
     // The answers are sent in the next iteration of the event loop, so the
     // process stops at a later check.
@@ -90,7 +90,13 @@
   }
 }
 
-void Drain::Hasten() { this->Finish(Cause::kInterrupted); }
+void Drain::Hasten() {
+  kLog.Warning("Interrupting open jobs. open_jobs={}", this->work.OpenJobs());
+  this->hastened = true;
+  this->interrupted = true;
+  this->work.RejectNewJobs();
+  this->work.InterruptJobs();
+}
 
 void Drain::Finish(Cause cause) {
   this->check_timer.Stop();
--- a/src/libs/node/drain.h
+++ b/src/libs/node/drain.h
@@ -25,7 +25,7 @@
   /// requested.
   void Begin(base::TimePoint requested_at);
 
-  /// Interrupts the open jobs now and stops once they are answered.
+  /// Interrupts the open jobs now. The process stops once they are answered.
   void Hasten();
 
   bool HasBegun() const { return this->begun; }
@@ -50,6 +50,7 @@
   base::TimePoint requested_at;
   base::TimePoint begun_at;
   bool begun = false;
+  bool hastened = false;
   bool interrupted = false;
   base::Timer check_timer;
 };
--- a/src/libs/node/platform_node.h
+++ b/src/libs/node/platform_node.h
@@ -32,8 +32,8 @@
   /// `settings.refused` is 1 until a reload succeeds.
   void RefuseReload(const std::vector<base::IniFault>& faults);
 
-  /// Starts the drain. A second call stops at once, without waiting for
-  /// open jobs.
+  /// Starts the drain. A second call interrupts the open jobs and stops once
+  /// they are answered.
   void Stop();
 
   /// Returns the address at which the process serves callers, `IP:port`, after
--- a/tests/node/drain_test.cc
+++ b/tests/node/drain_test.cc
@@ -117,6 +117,23 @@
   EXPECT_TRUE(this->stopped);
 }
 
+// Guards against requests without an answer when a process is told to stop
+// twice (issue 49).
+TEST_F(DrainTest, SecondStopAnswersOpenJobsFirst) {
+  this->work.jobs = 1;
+  this->work.answers_are_slow = true;
+  this->drain.Begin(this->clock.Now());
+  this->AdvanceInSteps(milliseconds(500));
+  this->drain.Hasten();
+  EXPECT_TRUE(this->work.rejects);
+  EXPECT_EQ(this->work.interrupts, 1);
+  this->AdvanceInSteps(milliseconds(300));
+  EXPECT_FALSE(this->stopped);
+  this->work.open_requests = false;
+  this->AdvanceInSteps(milliseconds(110));
+  EXPECT_TRUE(this->stopped);
+}
+
 // Guards against answers that a process with little processor time has not
 // written when it ends (issue 49).
 TEST_F(DrainTest, AnswersOfInterruptedJobsAreWrittenBeforeTheEnd) {
