--- a/src/hawthornwheeld/main.cc
+++ b/src/hawthornwheeld/main.cc
@@ -22,6 +22,7 @@
 #include "base/log_sink.h"
 #include "base/logger.h"
 #include "base/settings_reader.h"
+#include "base/signal_source.h"
 #include "base/timer.h"
 #include "base/version.h"
 #include "node/node.h"
@@ -49,10 +50,10 @@
 constexpr int kExitSettings = 3;
 constexpr int kExitStart = 4;
 
-template <typename AnyNode>
-gboolean OnStopSignal(gpointer data) {
-  static_cast<AnyNode*>(data)->Stop();
-  return G_SOURCE_CONTINUE;
+void StopNode(node::Node& node, base::TimePoint) { node.Stop(); }
+
+void StopNode(node::PlatformNode& node, base::TimePoint requested_at) {
+  node.Stop(requested_at);
 }
 
 template <typename AnyNode>
@@ -94,8 +95,11 @@
       clock, file.path, file.text,
       [&node, &reload](const std::string& text) { reload(node, text); });
   watch.Start();
-  g_unix_signal_add(SIGTERM, OnStopSignal<AnyNode>, &node);
-  g_unix_signal_add(SIGINT, OnStopSignal<AnyNode>, &node);
+  const auto stop = [&node](base::TimePoint requested_at) {
+    StopNode(node, requested_at);
+  };
+  const base::SignalSource terminate(SIGTERM, stop);
+  const base::SignalSource interrupt(SIGINT, stop);
   g_unix_signal_add(SIGUSR1, OnDumpSignal<AnyNode>, &node);
   g_unix_signal_add(SIGHUP, OnReloadSignal, &watch);
   g_main_loop_run(loop);
--- a/src/libs/base/glib_clock.cc
+++ b/src/libs/base/glib_clock.cc
@@ -144,7 +144,9 @@
 
 GlibClock::~GlibClock() = default;
 
-TimePoint GlibClock::Now() const {
+TimePoint GlibClock::Now() const { return CurrentTime(); }
+
+TimePoint GlibClock::CurrentTime() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(Duration(now.tv_sec * kMicrosecondsPerSecond +
--- a/src/libs/base/glib_clock.h
+++ b/src/libs/base/glib_clock.h
@@ -17,6 +17,9 @@
   /// simulate wrong clocks.
   void SetWallOffset(Duration offset);
 
+  /// Returns the time of all clocks of this type. Is async-signal-safe.
+  static TimePoint CurrentTime();
+
   TimePoint Now() const override;
   std::int64_t WallMilliseconds() const override;
   TimerId StartTimer(Duration delay, std::function<void()> callback) override;
--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -54,14 +54,14 @@
 }
 
 base::Duration Drain::TimeLeft() const {
-  return this->begun_at + this->time - this->clock.Now();
+  return this->requested_at + this->time - this->clock.Now();
 }
 
 base::Duration Drain::InterruptReserve() const { return kInterruptReserve; }
 
 // Makes new jobs end before the process stops.
 void Drain::LimitNewJobs() {
-  this->work.EndNewJobsBy(this->begun_at + this->time -
+  this->work.EndNewJobsBy(this->requested_at + this->time -
                           this->InterruptReserve());
 }
 
--- a/src/libs/node/platform_node.cc
+++ b/src/libs/node/platform_node.cc
@@ -246,14 +246,14 @@
   this->d->metrics.Set(kRefusedMetric, 1);
 }
 
-void PlatformNode::Stop() {
+void PlatformNode::Stop(base::TimePoint requested_at) {
   if (this->d->drain.HasBegun()) {
     this->d->drain.Hasten();
     return;
   }
   this->d->cluster.Leave();
   this->d->pool.Reconcile();
-  this->d->drain.Begin(this->d->clock.Now());
+  this->d->drain.Begin(requested_at);
 }
 
 std::string PlatformNode::CallerAddress() const {
--- a/src/libs/node/platform_node.h
+++ b/src/libs/node/platform_node.h
@@ -32,9 +32,9 @@
   /// `settings.refused` is 1 until a reload succeeds.
   void RefuseReload(const std::vector<base::IniFault>& faults);
 
-  /// Starts the drain. A second call interrupts the open jobs and stops once
-  /// they are answered.
-  void Stop();
+  /// Starts the drain, whose time counts from `requested_at`. A second call
+  /// interrupts the open jobs and stops once they are answered.
+  void Stop(base::TimePoint requested_at);
 
   /// Returns the address at which the process serves callers, `IP:port`, after
   /// Start().
--- a/tests/node/drain_test.cc
+++ b/tests/node/drain_test.cc
@@ -134,6 +134,19 @@
   EXPECT_TRUE(this->stopped);
 }
 
+// Guards against a process that is killed with open requests because it has
+// noticed the signal late (issue 49).
+TEST_F(DrainTest, TimeCountsFromTheRequest) {
+  this->work.jobs = 1;
+  const base::TimePoint requested_at = this->clock.Now() - milliseconds(1'300);
+  this->drain.Begin(requested_at);
+  EXPECT_EQ(this->work.new_jobs_end, requested_at + milliseconds(5'400));
+  this->AdvanceInSteps(milliseconds(4'000));
+  EXPECT_EQ(this->work.interrupts, 0);
+  this->AdvanceInSteps(milliseconds(210));
+  EXPECT_EQ(this->work.interrupts, 1);
+}
+
 // Guards against answers that a process with little processor time has not
 // written when it ends (issue 49).
 TEST_F(DrainTest, AnswersOfInterruptedJobsAreWrittenBeforeTheEnd) {
--- a/tests/node/platform_node_stop_test.cc
+++ b/tests/node/platform_node_stop_test.cc
@@ -137,7 +137,7 @@
   this->AwaitConfiguration();
   const Caller caller(this->node->CallerAddress());
   RunLoopFor(50);
-  this->node->Stop();
+  this->node->Stop(this->clock.Now());
   // Without open work, the process stops after 2.5 s. It is late meanwhile.
   RunLoopFor(2'350);
   ASSERT_FALSE(this->stopped);
