--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -1,5 +1,6 @@
 #include "node/drain.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <utility>
@@ -22,6 +23,10 @@
 // Remaining time at which open jobs are interrupted: two checks, the answers,
 // and the exit of a process with a tenth of a core.
 constexpr base::Duration kInterruptReserve = milliseconds(600);
+// Number of checks whose lateness counts, about a second.
+constexpr std::size_t kRememberedChecks = 10;
+// Longer delays are pauses, and the next one is not foreseeable.
+constexpr base::Duration kMaxDelay = milliseconds(400);
 // Remaining time at which the process ends, whatever is open.
 constexpr base::Duration kExitReserve = milliseconds(150);
 // Remaining time from which on all new jobs are rejected. Until then, only
@@ -49,6 +54,7 @@
   this->begun_at = this->clock.Now();
   kLog.Info("Stopping. open_jobs={} requested_ms_ago={}", this->work.OpenJobs(),
             (this->begun_at - requested_at) / milliseconds(1));
+  this->checked_at = this->begun_at;
   this->LimitNewJobs();
   this->check_timer.StartPeriodic(kCheckInterval, [this] { this->Check(); });
 }
@@ -57,7 +63,23 @@
   return this->requested_at + this->time - this->clock.Now();
 }
 
-base::Duration Drain::InterruptReserve() const { return kInterruptReserve; }
+// Returns the remaining time at which open jobs are interrupted. A late process
+// is late twice until their callers are answered: for the check, and in the
+// iteration of the event loop that writes the answers.
+base::Duration Drain::InterruptReserve() const {
+  base::Duration delay{0};
+  for (const base::Duration& recent : this->delays) {
+    delay = std::max(delay, recent);
+  }
+  return kInterruptReserve + 2 * std::min(delay, kMaxDelay);
+}
+
+void Drain::RecordDelay() {
+  const base::TimePoint now = this->clock.Now();
+  this->delays.push_back(now - this->checked_at - kCheckInterval);
+  if (this->delays.size() > kRememberedChecks) this->delays.pop_front();
+  this->checked_at = now;
+}
 
 // Makes new jobs end before the process stops.
 void Drain::LimitNewJobs() {
@@ -66,6 +88,7 @@
 }
 
 void Drain::Check() {
+  this->RecordDelay();
   this->LimitNewJobs();
   const base::Duration left = this->TimeLeft();
   if (left <= kNewJobReserve) this->work.RejectNewJobs();
@@ -100,10 +123,12 @@
 
 void Drain::Finish(Cause cause) {
   this->check_timer.Stop();
-  kLog.Info("Stopped. cause=\"{}\" drain_ms={} open_jobs={} open_requests={}",
-            NameOf(cause),
-            (this->clock.Now() - this->begun_at) / milliseconds(1),
-            this->work.OpenJobs(), this->work.HasOpenRequests());
+  kLog.Info(
+      "Stopped. cause=\"{}\" drain_ms={} open_jobs={} open_requests={} "
+      "delay_ms={}",
+      NameOf(cause), (this->clock.Now() - this->begun_at) / milliseconds(1),
+      this->work.OpenJobs(), this->work.HasOpenRequests(),
+      (this->InterruptReserve() - kInterruptReserve) / milliseconds(2));
   // The rest of this iteration of the event loop could read a request that
   // nobody would answer.
   this->work.Disconnect();
--- a/src/libs/node/drain.h
+++ b/src/libs/node/drain.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 
 #include "base/clock.h"
@@ -38,6 +39,7 @@
   static const char* NameOf(Cause cause);
 
   void Check();
+  void RecordDelay();
   base::Duration TimeLeft() const;
   base::Duration InterruptReserve() const;
   void LimitNewJobs();
@@ -49,6 +51,10 @@
   std::function<void()> on_drained;
   base::TimePoint requested_at;
   base::TimePoint begun_at;
+  /// Time of the latest check.
+  base::TimePoint checked_at;
+  /// Latenesses of the latest checks, the newest last.
+  std::deque<base::Duration> delays;
   bool begun = false;
   bool hastened = false;
   bool interrupted = false;
--- a/tests/node/drain_test.cc
+++ b/tests/node/drain_test.cc
@@ -61,6 +61,12 @@
       this->clock.Advance(milliseconds(10));
   }
 
+  // Runs the next check `span` after the latest one.
+  void CheckLate(base::Duration span) {
+    this->clock.Stall(span);
+    this->clock.Advance(base::Duration{0});
+  }
+
   ManualClock clock;
   ScriptedWork work;
   bool stopped = false;
@@ -147,6 +153,31 @@
   EXPECT_EQ(this->work.interrupts, 1);
 }
 
+// Guards against a process that is late and is killed before it has answered
+// the jobs that it interrupts (issue 49).
+TEST_F(DrainTest, LateProcessInterruptsEarlier) {
+  this->work.jobs = 1;
+  this->drain.Begin(this->clock.Now());
+  // Each check is 200 ms late.
+  for (int i = 0; i < 16; ++i) this->CheckLate(milliseconds(300));
+  EXPECT_EQ(this->work.interrupts, 0);
+  EXPECT_EQ(this->work.new_jobs_end,
+            this->clock.Now() + milliseconds(1'200 - 1'000));
+  this->CheckLate(milliseconds(300));
+  EXPECT_EQ(this->work.interrupts, 1);
+}
+
+// A pause that is over does not take time from open jobs.
+TEST_F(DrainTest, PauseDoesNotInterruptJobs) {
+  this->work.jobs = 1;
+  this->drain.Begin(this->clock.Now());
+  this->CheckLate(milliseconds(2'000));
+  this->AdvanceInSteps(milliseconds(3'200));
+  EXPECT_EQ(this->work.interrupts, 0);
+  this->AdvanceInSteps(milliseconds(300));
+  EXPECT_EQ(this->work.interrupts, 1);
+}
+
 // Guards against answers that a process with little processor time has not
 // written when it ends (issue 49).
 TEST_F(DrainTest, AnswersOfInterruptedJobsAreWrittenBeforeTheEnd) {
--- a/tests/support/manual_clock.h
+++ b/tests/support/manual_clock.h
@@ -23,6 +23,10 @@
   /// deadlines.
   void Advance(base::Duration span);
 
+  /// Advances by `span` without running timers, as in a process that is paused
+  /// or busy.
+  void Stall(base::Duration span) { this->now += span; }
+
   /// Number of timers that have not expired.
   std::size_t PendingTimers() const { return this->queue.size(); }
 
