Node: one flag for a drain that interrupts its jobs

Reading the code afresh: after an interrupt the drain still compared the time left with a reserve that may shrink again. The remembered delays make that harmless, but only by their number. An interrupted drain is due from then on; the flag of Hasten() is the same. DrainTest passes before and after.

--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -98,7 +98,7 @@
     this->Finish(this->interrupted ? Cause::kInterrupted : Cause::kIdle);
     return;
   }
-  if (!this->hastened && left > this->InterruptReserve()) return;
+  if (!this->interrupted && left > this->InterruptReserve()) return;
   if (this->work.OpenJobs() > 0) {
     // The answers are sent in the next iteration of the event loop, so the
     // process stops at a later check.
@@ -115,7 +115,6 @@
 
 void Drain::Hasten() {
   kLog.Warning("Interrupting open jobs. open_jobs={}", this->work.OpenJobs());
-  this->hastened = true;
   this->interrupted = true;
   this->work.RejectNewJobs();
   this->work.InterruptJobs();
--- a/src/libs/node/drain.h
+++ b/src/libs/node/drain.h
@@ -56,7 +56,6 @@
   /// Latenesses of the latest checks, the newest last.
   std::deque<base::Duration> delays;
   bool begun = false;
-  bool hastened = false;
   bool interrupted = false;
   base::Timer check_timer;
 };
