--- a/src/libs/http/http_server.cc
+++ b/src/libs/http/http_server.cc
@@ -140,6 +140,13 @@
   return request;
 }
 
+// Returns the answer to a client that has closed the connection.
+HttpReply UnreadReply() {
+  HttpReply reply;
+  reply.status = SOUP_STATUS_SERVICE_UNAVAILABLE;
+  return reply;
+}
+
 }  // namespace
 
 class HttpServer::Private {
@@ -185,7 +192,14 @@
     HttpRequest request = ReadRequest(message, path, query);
     const std::weak_ptr<Exchange> weak = exchange;
     request.watch_connection = [weak](std::function<void()> on_closed) {
-      if (const auto locked = weak.lock()) locked->Watch(std::move(on_closed));
+      const auto locked = weak.lock();
+      if (locked == nullptr) return;
+      locked->Watch([weak, on_closed = std::move(on_closed)] {
+        on_closed();
+        // libsoup does not read from the connection while the message is
+        // paused, so only an attempt to answer ends the request.
+        if (const auto left = weak.lock()) left->Respond(UnreadReply());
+      });
     };
     {
       const EventContext::MainLoopScope scope;
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -153,6 +153,30 @@
   }
 }
 
+// Guards against requests that stay open for good when their clients leave, so
+// that a stopping process is never done (issue 49).
+TEST_F(HttpServerTest, RequestOfClientThatLeavesIsNotOpenAnyMore) {
+  int left = 0;
+  std::vector<http::HttpServer::Responder> unanswered;
+  http::HttpServer slow_server(
+      1'000, "{}",
+      [&left, &unanswered](const http::HttpRequest& request,
+                           const http::HttpServer::Responder& respond) {
+        unanswered.push_back(respond);
+        request.OnClosed([&left] { ++left; });
+      });
+  this->port = *slow_server.Listen("127.0.0.1:0");
+  const int client = this->Connect();
+  Write(client, kRequest);
+  ASSERT_TRUE(RunLoopUntil([&unanswered] { return !unanswered.empty(); }));
+  EXPECT_EQ(slow_server.OpenRequests(), 1U);
+  close(client);
+  ASSERT_TRUE(RunLoopUntil([&left] { return left == 1; }));
+  unanswered.clear();
+  RunLoopFor(100);
+  EXPECT_EQ(slow_server.OpenRequests(), 0U);
+}
+
 // The next three tests guard against requests that a stopping process leaves
 // without an answer (issue 49).
 TEST_F(ConnectionLimitsTest, RequestThatHasArrivedIsReported) {
