--- a/src/libs/node/drain.cc
+++ b/src/libs/node/drain.cc
@@ -27,8 +27,9 @@
 constexpr std::size_t kRememberedChecks = 10;
 // Longer delays are pauses, and the next one is not foreseeable.
 constexpr base::Duration kMaxDelay = milliseconds(400);
-// Remaining time at which the process ends, whatever is open.
-constexpr base::Duration kExitReserve = milliseconds(150);
+// Remaining time at which the process ends, whatever is open: a check, and the
+// exit of a process with a tenth of a core.
+constexpr base::Duration kExitReserve = milliseconds(300);
 // Remaining time from which on all new jobs are rejected. Until then, only
 // those are that cannot end before the process stops.
 constexpr base::Duration kNewJobReserve = milliseconds(1'900);
