Soak: a request that a planned stop leaves without an answer is a finding

Change: a request at a process that was stopped by SIGTERM, and neither killed nor paused since its start, is a finding if it ends without an answer 0.2 s after it was sent or later, before the caller's time limit.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -142,11 +142,13 @@
     case 2:
       this->RecordFault("series: stop " + member.name);
       member.stopping = true;
+      member.planned_stop = true;
       member.process->Signal(SIGTERM);
       return;
     case 3:
       this->RecordFault("series: kill " + member.name);
       member.stopping = true;
+      member.disturbed = true;
       member.process->Signal(SIGKILL);
       return;
     case 4:
@@ -209,6 +211,7 @@
 
 void FaultPlan::Pause(SoakMember& member, base::Duration duration) {
   member.paused = true;
+  member.disturbed = true;
   member.process->Signal(SIGSTOP);
   this->environment.clock.StartTimer(duration, [&member] {
     if (member.paused) member.process->Signal(SIGCONT);
@@ -247,12 +250,14 @@
       // CheckProcesses() restarts it.
       this->RecordFault("kill " + member.name);
       member.stopping = true;
+      member.disturbed = true;
       member.wall_offset_ms = RandomWallOffset(this->environment.random);
       member.process->Signal(SIGKILL);
       return;
     case 2:
       this->RecordFault("stop " + member.name);
       member.stopping = true;
+      member.planned_stop = true;
       member.process->Signal(SIGTERM);
       return;
     case 3:
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -46,6 +46,11 @@
 constexpr double kLostConnectionShare = 0.06;
 constexpr base::Duration kMinLossTime = milliseconds(10);
 constexpr base::Duration kMaxLossTime = milliseconds(600);
+// A request that ends without an answer within this time may not have been
+// read.
+constexpr base::Duration kMinCutAge = milliseconds(200);
+// Lateness of the client's time limit.
+constexpr base::Duration kTimerSlack = milliseconds(20);
 constexpr base::Duration kFirstLateStop = milliseconds(300);
 constexpr int kTaskMemoryMb = 64;
 constexpr int kStatusOk = 200;
@@ -169,10 +174,27 @@
                         member.domain, call.target));
   this->ScheduleConnectionLoss(index, call);
   ++this->open_requests;
-  this->http.Send(
-      call, [this, index, send = job.sends](const Result<HttpReply>& reply) {
-        this->OnAnswer(index, send, reply);
-      });
+  const SentRequest request{&member, member.launches,
+                            this->environment.clock.Now(), call.timeout};
+  this->http.Send(call, [this, index, send = job.sends,
+                         request](const Result<HttpReply>& reply) {
+    if (!reply) this->CheckCut(this->jobs[index], request);
+    this->OnAnswer(index, send, reply);
+  });
+}
+
+void SoakCallers::CheckCut(const Job& job, const SentRequest& request) {
+  const SoakMember& member = *request.member;
+  const base::Duration age = this->environment.clock.Now() - request.sent_at;
+  if (!member.planned_stop || member.disturbed ||
+      member.launches != request.launches || age < kMinCutAge ||
+      age >= request.timeout - kTimerSlack) {
+    return;
+  }
+  this->wrong_answers.push_back(
+      fmt::format("job {} got no answer from {} at its planned stop, {} ms "
+                  "after it was sent",
+                  job.id, member.name, age / milliseconds(1)));
 }
 
 void SoakCallers::ScheduleConnectionLoss(std::size_t index,
@@ -214,7 +236,7 @@
     if (job.completed) {
       const auto done = this->environment.leased_endpoints.DoneOf(job.id);
       if (done < static_cast<std::uint64_t>(job.tasks)) {
-        this->incomplete_answers.push_back(
+        this->wrong_answers.push_back(
             fmt::format("job {} was reported complete with {} of {} tasks done",
                         job.id, done, job.tasks));
       }
@@ -271,7 +293,7 @@
 }
 
 std::vector<std::string> SoakCallers::Violations() const {
-  std::vector<std::string> found = this->incomplete_answers;
+  std::vector<std::string> found = this->wrong_answers;
   for (const Job& job : this->jobs) {
     const auto starts = this->environment.leased_endpoints.StartsOf(job.id);
     if (IsRefusal(job.last_status) && !job.may_have_run && starts > 0) {
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -89,6 +89,14 @@
     bool completed = false;
   };
 
+  /// A request, and the process that got it.
+  struct SentRequest {
+    const SoakMember* member = nullptr;
+    int launches = 0;
+    base::TimePoint sent_at;
+    base::Duration timeout;
+  };
+
   void SubmitNext();
   const JobKind& RandomKind();
   /// Returns the run time of a new job at an endpoint of normal speed.
@@ -98,6 +106,8 @@
   void ScheduleConnectionLoss(std::size_t job, http::HttpCall& call);
   void OnAnswer(std::size_t job, int send,
                 const base::Result<http::HttpReply>& reply);
+  /// Records a request that ended without an answer at a planned stop.
+  void CheckCut(const Job& job, const SentRequest& request);
   /// Sends the job again later, if the caller does so.
   void OnUnknownOutcome(std::size_t job);
   void OnRunEnd(const std::string& id, base::TimePoint started,
@@ -130,8 +140,9 @@
   int stopped_after_300_ms = 0;
   int stopped_after_1300_ms = 0;
   int ended_after_1300_ms = 0;
-  /// Descriptions of answers that reported a job as complete too early.
-  std::vector<std::string> incomplete_answers;
+  /// Descriptions of answers that reported a job as complete too early, and of
+  /// requests that were cut by a planned stop.
+  std::vector<std::string> wrong_answers;
 };
 
 }  // namespace hawthornwheel::soak
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -217,6 +217,9 @@
   this->WriteSettings(member);
   member.paused = false;
   member.stopping = false;
+  member.planned_stop = false;
+  member.disturbed = false;
+  ++member.launches;
   member.process = std::make_unique<ChildProcess>(
       this->options.program, member.settings_file, member.log_file);
 }
--- a/soak/soak_member.h
+++ b/soak/soak_member.h
@@ -43,6 +43,12 @@
   bool paused = false;
   /// Set from a kill or stop by the soak until the process is restarted.
   bool stopping = false;
+  /// Whether the soak has stopped the process by SIGTERM.
+  bool planned_stop = false;
+  /// Whether the soak has killed or paused the process since its start.
+  bool disturbed = false;
+  /// Number of starts.
+  int launches = 0;
 };
 
 }  // namespace hawthornwheel::soak
