Tests: an answer that is given at once outlives the server

It refuses them at once while it drains, and this test shows that such an answer is written in the iteration that reads the request.

--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -190,6 +191,32 @@
   close(client);
 }
 
+// The project's own interface relies on this when it ends (issue 49): a
+// draining process refuses requests at once.
+TEST_F(HttpServerTest, AnswerGivenAtOnceOutlivesTheServer) {
+  bool handled = false;
+  auto server = std::make_unique<http::HttpServer>(
+      1'000, "{}",
+      [&handled](const http::HttpRequest&,
+                 const http::HttpServer::Responder& respond) {
+        handled = true;
+        http::HttpReply reply;
+        reply.status = 503;
+        respond(reply);
+      });
+  this->port = *server->Listen("127.0.0.1:0");
+  const int client = this->Connect();
+  RunLoopFor(50);
+  Write(client, kRequest);
+  ASSERT_TRUE(RunLoopUntil([&handled] { return handled; }));
+  server.reset();
+  std::array<char, 1'000> answer{};
+  const ssize_t size = recv(client, answer.data(), answer.size(), MSG_DONTWAIT);
+  EXPECT_EQ(std::string(answer.data(), size > 0 ? size : 0).substr(0, 12),
+            "HTTP/1.1 503");
+  close(client);
+}
+
 TEST_F(HttpServerTest, ConnectionThatIsNotAcceptedIsReported) {
   this->Listen();
   EXPECT_FALSE(this->server.HasUnreadRequests());
