--- /dev/null
+++ b/review/rig-3/scenarios.cc
@@ -0,0 +1,145 @@
+#include "scenarios.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+
+#include "fleet.h"
+
+namespace rig {
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+constexpr char kHost[] = "nony24.example";
+constexpr char kPrefix[] = "/lohu930/";
+constexpr char kJob[] = "5c0e7a21d94b36f8";
+// Declared run time of a long task, as in the platform's examples.
+constexpr int kEstimateMs = 7'000;
+
+Message Request(const char* method, const std::string& job) {
+  Message request;
+  request.method = method;
+  request.target = kPrefix + job;
+  request.headers["Host"] = kHost;
+  return request;
+}
+
+// Waits up to `timeout_ms` until a run of the job has started.
+bool AwaitStart(Fleet& fleet, const std::string& job, int timeout_ms) {
+  for (int waited = 0; waited < timeout_ms; waited += 20) {
+    if (!fleet.RunsOf(job).empty()) return true;
+    SleepMs(20);
+  }
+  return false;
+}
+
+// Returns whether a task of the cancelled job is at work after `gone_ms`.
+bool HasRunAfter(Fleet& fleet, Record& record, std::int64_t gone_ms) {
+  bool broken = false;
+  for (const Worker::History& run : fleet.RunsOf(kJob)) {
+    const bool late = run.ended_ms < 0 || run.ended_ms > gone_ms;
+    if (!late) continue;
+    broken = true;
+    record.Write(
+        "BROKEN: task " + run.task + " run " + std::to_string(run.run) +
+        " of the cancelled job, started at " + std::to_string(run.started_ms) +
+        ", is at work at " + run.worker + " after " + std::to_string(gone_ms));
+  }
+  return broken;
+}
+
+// A machine that has accepted a job is frozen; meanwhile the job is cancelled
+// at another machine.
+int CancelDuringFreeze(Fleet& fleet, bool with_trouble, Record& record) {
+  constexpr int kFreezeMs = 4'000;
+  constexpr int kWorkMs = 8'000;
+  constexpr int kBudgetMs = 30'000;
+  for (const char* name : {"front-1", "front-2", "front-3"}) {
+    fleet.AddMachine(name, "bayanzurkh");
+  }
+  fleet.AddWorkers("bayanzurkh", 4);
+  fleet.PutConfig(7, {{"r-1", kHost, kPrefix, kBudgetMs}});
+  if (!fleet.Start()) return kCannotRun;
+  SleepMs(fleet.bounds.contact_ms);
+  ClientCall submission(record, "submission", fleet.At("front-1").front,
+                        Submission(kHost, std::string(kPrefix) + kJob, 2, 2'000,
+                                   kEstimateMs, kWorkMs, kBudgetMs),
+                        kBudgetMs);
+  if (!AwaitStart(fleet, kJob, 3'000)) return kCannotRun;
+  SleepMs(1'000);
+  if (with_trouble) fleet.Signal("front-1", SIGSTOP);
+  SleepMs(2'500);
+  ClientCall cancel(record, "cancel", fleet.At("front-2").front,
+                    Request("DELETE", kJob), 4'000);
+  const int status = cancel.Wait();
+  SleepMs(kFreezeMs - 2'500);
+  if (with_trouble) fleet.Signal("front-1", SIGCONT);
+  const bool acknowledged = status / 100 == 2 || status == 410;
+  if (!acknowledged) return kCannotRun;
+  // All machines have been without disturbance for contactMs from here on. A
+  // stretch of cancel_ms and stopMs later the tasks have to be gone.
+  const std::int64_t calm_ms =
+      record.NowMs() + (with_trouble ? fleet.bounds.contact_ms : 0);
+  const std::int64_t gone_ms =
+      calm_ms + fleet.bounds.cancel_ms + fleet.bounds.stop_ms;
+  while (record.NowMs() < gone_ms + 1'000) SleepMs(20);
+  return HasRunAfter(fleet, record, gone_ms) ? kBroken : kHeld;
+}
+
+// A job is cancelled. Its submission is answered with 502, after which clients
+// send a job again.
+int CancelThenResend(Fleet& fleet, bool with_trouble, Record& record) {
+  constexpr int kWorkMs = 8'000;
+  constexpr int kBudgetMs = 30'000;
+  for (const char* name : {"front-1", "front-2", "front-3"}) {
+    fleet.AddMachine(name, "bayanzurkh");
+  }
+  fleet.AddWorkers("bayanzurkh", 4);
+  fleet.PutConfig(7, {{"r-1", kHost, kPrefix, kBudgetMs}});
+  if (!fleet.Start()) return kCannotRun;
+  SleepMs(fleet.bounds.contact_ms);
+  const Message job = Submission(kHost, std::string(kPrefix) + kJob, 2, 2'000,
+                                 kEstimateMs, kWorkMs, kBudgetMs);
+  ClientCall submission(record, "submission", fleet.At("front-1").front, job,
+                        kBudgetMs);
+  if (!AwaitStart(fleet, kJob, 3'000)) return kCannotRun;
+  SleepMs(1'000);
+  ClientCall cancel(record, "cancel", fleet.At("front-1").front,
+                    Request("DELETE", kJob), 4'000);
+  const int cancel_status = cancel.Wait();
+  if (cancel_status / 100 != 2 && cancel_status != 410) return kCannotRun;
+  const std::int64_t gone_ms =
+      cancel.EndedMs() + fleet.bounds.cancel_ms + fleet.bounds.stop_ms;
+  const int status = submission.Wait();
+  std::unique_ptr<ClientCall> copy;
+  const bool sends_again = status == 0 || status == 502 || status == 504;
+  if (with_trouble && sends_again) {
+    SleepMs(fleet.bounds.resend_ms);
+    copy = std::make_unique<ClientCall>(record, "copy",
+                                        fleet.At("front-2").front, job, 8'000);
+  }
+  while (record.NowMs() < gone_ms + 1'000) SleepMs(20);
+  return HasRunAfter(fleet, record, gone_ms) ? kBroken : kHeld;
+}
+
+}  // namespace
+
+int Play(const std::string& scenario, bool with_trouble,
+         const std::string& folder, Record& record) {
+  Fleet fleet(folder, record);
+  if (scenario == "cancel-during-freeze") {
+    return CancelDuringFreeze(fleet, with_trouble, record);
+  }
+  if (scenario == "cancel-then-resend") {
+    return CancelThenResend(fleet, with_trouble, record);
+  }
+  std::cerr << "unknown scenario " << scenario << std::endl;
+  return kCannotRun;
+}
+
+}  // namespace rig
