--- a/review/rig-3/fleet.cc
+++ b/review/rig-3/fleet.cc
@@ -136,9 +136,10 @@
   this->record.Write("config version=" + std::to_string(version));
 }
 
-void Fleet::StartMachine(Machine& machine) {
+void Fleet::WriteSettings(const Machine& machine) {
   std::string seeds;
-  for (std::size_t i = 0; i < this->machines.size() && i < 3; ++i) {
+  for (std::size_t i = 0; i < this->machines.size() && i < this->seed_count;
+       ++i) {
     if (i > 0) seeds += ",";
     seeds += this->machines[i]->ip + ":" + this->control_port;
   }
@@ -157,6 +158,10 @@
                {"bounds.holdMaxMs", std::to_string(this->bounds.hold_max_ms)},
                {"bounds.stopMs", std::to_string(this->bounds.stop_ms)},
                {"bounds.farFactor", std::to_string(this->bounds.far_factor)}});
+}
+
+void Fleet::StartMachine(Machine& machine) {
+  this->WriteSettings(machine);
   const std::string settings = "--settings=" + machine.settings;
   const std::string log = this->folder + "/" + machine.name + ".log";
   const pid_t pid = fork();
--- a/review/rig-3/fleet.h
+++ b/review/rig-3/fleet.h
@@ -71,6 +71,12 @@
   /// they are not after 20 s.
   bool Start();
   void StartMachine(Machine& machine);
+  /// Writes the settings file of a machine, as the platform does at each start
+  /// and whenever the settings change.
+  void WriteSettings(const Machine& machine);
+  /// Sets the number of seeds in the settings that are written from now on, 3
+  /// at most.
+  void SetSeedCount(std::size_t count) { this->seed_count = count; }
   bool IsReady(const Machine& machine) const;
 
   Machine& At(const std::string& name);
@@ -91,7 +97,7 @@
   std::string base;
   std::uint16_t peer_port = 0;
   std::string control_port;
-  int next_host = 20;
+  std::size_t seed_count = 3;
   std::vector<std::unique_ptr<Machine>> machines;
 };
 
--- a/review/rig-3/scenarios.cc
+++ b/review/rig-3/scenarios.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <iostream>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "fleet.h"
 
@@ -53,44 +55,6 @@
   return broken;
 }
 
-// A machine that has accepted a job is frozen; meanwhile the job is cancelled
-// at another machine.
-int CancelDuringFreeze(Fleet& fleet, bool with_trouble, Record& record) {
-  constexpr int kFreezeMs = 4'000;
-  constexpr int kWorkMs = 8'000;
-  constexpr int kBudgetMs = 30'000;
-  for (const char* name : {"front-1", "front-2", "front-3"}) {
-    fleet.AddMachine(name, "bayanzurkh");
-  }
-  fleet.AddWorkers("bayanzurkh", 4);
-  fleet.PutConfig(7, {{"r-1", kHost, kPrefix, kBudgetMs}});
-  if (!fleet.Start()) return kCannotRun;
-  SleepMs(fleet.bounds.contact_ms);
-  ClientCall submission(record, "submission", fleet.At("front-1").front,
-                        Submission(kHost, std::string(kPrefix) + kJob, 2, 2'000,
-                                   kEstimateMs, kWorkMs, kBudgetMs),
-                        kBudgetMs);
-  if (!AwaitStart(fleet, kJob, 3'000)) return kCannotRun;
-  SleepMs(1'000);
-  if (with_trouble) fleet.Signal("front-1", SIGSTOP);
-  SleepMs(2'500);
-  ClientCall cancel(record, "cancel", fleet.At("front-2").front,
-                    Request("DELETE", kJob), 4'000);
-  const int status = cancel.Wait();
-  SleepMs(kFreezeMs - 2'500);
-  if (with_trouble) fleet.Signal("front-1", SIGCONT);
-  const bool acknowledged = status / 100 == 2 || status == 410;
-  if (!acknowledged) return kCannotRun;
-  // All machines have been without disturbance for contactMs from here on. A
-  // stretch of cancel_ms and stopMs later the tasks have to be gone.
-  const std::int64_t calm_ms =
-      record.NowMs() + (with_trouble ? fleet.bounds.contact_ms : 0);
-  const std::int64_t gone_ms =
-      calm_ms + fleet.bounds.cancel_ms + fleet.bounds.stop_ms;
-  while (record.NowMs() < gone_ms + 1'000) SleepMs(20);
-  return HasRunAfter(fleet, record, gone_ms) ? kBroken : kHeld;
-}
-
 // A job is cancelled. Its submission is answered with 502, after which clients
 // send a job again.
 int CancelThenResend(Fleet& fleet, bool with_trouble, Record& record) {
@@ -127,17 +91,61 @@
   return HasRunAfter(fleet, record, gone_ms) ? kBroken : kHeld;
 }
 
+// The settings name no seeds any more. Each machine is stopped and started
+// again.
+int NoSeeds(Fleet& fleet, bool with_trouble, Record& record) {
+  constexpr int kStartDelayMs = 300;
+  constexpr int kReadyMs = 5'000;
+  const std::vector<std::string> names = {"front-1", "front-2", "front-3"};
+  for (const std::string& name : names) fleet.AddMachine(name, "bayanzurkh");
+  fleet.AddWorkers("bayanzurkh", 4);
+  fleet.PutConfig(7, {{"r-1", kHost, kPrefix}});
+  if (!fleet.Start()) return kCannotRun;
+  SleepMs(fleet.bounds.contact_ms);
+  const std::size_t seeds = with_trouble ? 0 : 1;
+  fleet.SetSeedCount(seeds);
+  record.Write("the settings change: " + std::to_string(seeds) + " seeds");
+  for (const std::string& name : names) {
+    fleet.WriteSettings(fleet.At(name));
+    fleet.Signal(name, SIGHUP);
+  }
+  SleepMs(2'000);
+  int broken = 0;
+  for (const std::string& name : names) {
+    fleet.Signal(name, SIGTERM);
+    for (int waited = 0; fleet.Runs(name); waited += 50) {
+      if (waited > fleet.bounds.grace_s * 1'000) return kCannotRun;
+      SleepMs(50);
+    }
+    SleepMs(kStartDelayMs);
+    Fleet::Machine& machine = fleet.At(name);
+    fleet.StartMachine(machine);
+    bool ready = false;
+    for (int waited = 0; !ready && waited < kReadyMs; waited += 100) {
+      SleepMs(100);
+      ready = fleet.Runs(name) && fleet.IsReady(machine);
+    }
+    if (ready) continue;
+    ++broken;
+    record.Write("BROKEN: " + name + " does not start");
+  }
+  ClientCall call(
+      record, "after", fleet.At("front-1").front,
+      Submission(kHost, std::string(kPrefix) + kJob, 2, 2'000, 60, 60, 1'500),
+      1'500);
+  record.Write("status after the stops: " + std::to_string(call.Wait()));
+  return broken > 0 ? kBroken : kHeld;
+}
+
 }  // namespace
 
 int Play(const std::string& scenario, bool with_trouble,
          const std::string& folder, Record& record) {
   Fleet fleet(folder, record);
-  if (scenario == "cancel-during-freeze") {
-    return CancelDuringFreeze(fleet, with_trouble, record);
-  }
   if (scenario == "cancel-then-resend") {
     return CancelThenResend(fleet, with_trouble, record);
   }
+  if (scenario == "no-seeds") return NoSeeds(fleet, with_trouble, record);
   std::cerr << "unknown scenario " << scenario << std::endl;
   return kCannotRun;
 }
