Review case 11: a run whose stop is not confirmed outlasts the return of its job

A worker leaves stops without an answer while its zone is cut off; other runs renew the lease, and the job that is sent again runs beside the first run.

--- a/review/rig-3/fleet.cc
+++ b/review/rig-3/fleet.cc
@@ -136,28 +136,42 @@
   this->record.Write("config version=" + std::to_string(version));
 }
 
+void Fleet::AddProxy(const std::string& name) {
+  Machine& machine = this->At(name);
+  machine.proxy = std::make_unique<Proxy>(machine.ip, this->peer_port);
+}
+
 void Fleet::WriteSettings(const Machine& machine) {
   std::string seeds;
   for (std::size_t i = 0; i < this->machines.size() && i < this->seed_count;
        ++i) {
     if (i > 0) seeds += ",";
-    seeds += this->machines[i]->ip + ":" + this->control_port;
+    const std::string ip =
+        this->stale_seeds ? this->Ip(250) : this->machines[i]->ip;
+    seeds += ip + ":" + this->control_port;
+  }
+  std::string text =
+      Fill(ReadFile(kTemplate),
+           {{"node", machine.name},
+            {"zone", machine.zone},
+            {"limits.cpuShare", std::to_string(machine.cpu_share)},
+            {"bounds.graceS", std::to_string(this->bounds.grace_s)},
+            {"ip", machine.ip},
+            {"portRange.0", std::to_string(this->peer_port)},
+            {"seeds", seeds},
+            {"listen.front", machine.front},
+            {"listen.ready", machine.ready},
+            {"platform.addr", this->store.Address()},
+            {"bounds.holdMaxMs", std::to_string(this->bounds.hold_max_ms)},
+            {"bounds.stopMs", std::to_string(this->bounds.stop_ms)},
+            {"bounds.farFactor", std::to_string(this->bounds.far_factor)}});
+  if (machine.proxy != nullptr) {
+    // The other machines learn this address instead of the own one.
+    const std::string group = "[peers]\n";
+    text.insert(text.find(group) + group.size(),
+                "advertise = " + machine.proxy->Address() + "\n");
   }
-  std::ofstream(machine.settings)
-      << Fill(ReadFile(kTemplate),
-              {{"node", machine.name},
-               {"zone", machine.zone},
-               {"limits.cpuShare", std::to_string(machine.cpu_share)},
-               {"bounds.graceS", std::to_string(this->bounds.grace_s)},
-               {"ip", machine.ip},
-               {"portRange.0", std::to_string(this->peer_port)},
-               {"seeds", seeds},
-               {"listen.front", machine.front},
-               {"listen.ready", machine.ready},
-               {"platform.addr", this->store.Address()},
-               {"bounds.holdMaxMs", std::to_string(this->bounds.hold_max_ms)},
-               {"bounds.stopMs", std::to_string(this->bounds.stop_ms)},
-               {"bounds.farFactor", std::to_string(this->bounds.far_factor)}});
+  std::ofstream(machine.settings) << text;
 }
 
 void Fleet::StartMachine(Machine& machine) {
--- a/review/rig-3/fleet.h
+++ b/review/rig-3/fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "http.h"
+#include "proxy.h"
 #include "record.h"
 #include "store.h"
 #include "worker.h"
@@ -42,6 +43,9 @@
     std::string front;
     std::string ready;
     double cpu_share = 0.25;
+    /// Carries the connections of the other machines to this one; null for
+    /// none.
+    std::unique_ptr<Proxy> proxy;
     pid_t pid = 0;
   };
   struct Route {
@@ -65,6 +69,9 @@
   void AddMachine(const std::string& name, const std::string& zone,
                   double cpu_share = 0.25);
   void AddWorkers(const std::string& zone, int count, int cpu = 16'000);
+  /// Lets the other machines reach a machine through a proxy. Called before it
+  /// starts.
+  void AddProxy(const std::string& name);
   void PutConfig(std::uint64_t version, const std::vector<Route>& routes);
 
   /// Starts all machines and waits until they are ready. Returns false when
@@ -77,6 +84,9 @@
   /// Sets the number of seeds in the settings that are written from now on, 3
   /// at most.
   void SetSeedCount(std::size_t count) { this->seed_count = count; }
+  /// Lets the seeds be addresses that nobody listens at. The machines find each
+  /// other in the store, under the addresses of their proxies.
+  void SetStaleSeeds() { this->stale_seeds = true; }
   bool IsReady(const Machine& machine) const;
 
   Machine& At(const std::string& name);
@@ -98,6 +108,7 @@
   std::uint16_t peer_port = 0;
   std::string control_port;
   std::size_t seed_count = 3;
+  bool stale_seeds = false;
   std::vector<std::unique_ptr<Machine>> machines;
 };
 
--- a/review/rig-3/scenarios.cc
+++ b/review/rig-3/scenarios.cc
@@ -3,9 +3,12 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <atomic>
+#include <cstdio>
 #include <iostream>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fleet.h"
@@ -55,6 +58,30 @@
   return broken;
 }
 
+// Returns whether two runs of one task of the job were at work at the same
+// time.
+bool HasRunsAtOnce(Fleet& fleet, Record& record, const std::string& job) {
+  const std::vector<Worker::History> runs = fleet.RunsOf(job);
+  bool broken = false;
+  for (const Worker::History& first : runs) {
+    for (const Worker::History& second : runs) {
+      if (&first == &second || first.task != second.task) continue;
+      if (first.started_ms > second.started_ms) continue;
+      const std::int64_t end_ms =
+          first.ended_ms < 0 ? record.NowMs() : first.ended_ms;
+      if (end_ms <= second.started_ms) continue;
+      broken = true;
+      const std::int64_t both_end_ms =
+          second.ended_ms < 0 ? end_ms : std::min(end_ms, second.ended_ms);
+      record.Write("BROKEN: task " + first.task + " runs at " + first.worker +
+                   " and at " + second.worker + " from " +
+                   std::to_string(second.started_ms) + " to " +
+                   std::to_string(both_end_ms));
+    }
+  }
+  return broken;
+}
+
 // A job is cancelled. Its submission is answered with 502, after which clients
 // send a job again.
 int CancelThenResend(Fleet& fleet, bool with_trouble, Record& record) {
@@ -91,6 +118,86 @@
   return HasRunAfter(fleet, record, gone_ms) ? kBroken : kHeld;
 }
 
+// A zone is cut off from the other one while a worker there leaves stops
+// without an answer. A job that is given up in that zone is sent again to the
+// other.
+int LateStopBehindCut(Fleet& fleet, bool with_trouble, Record& record) {
+  constexpr int kBudgetMs = 1'500;
+  constexpr int kWorkMs = 3'400;
+  constexpr int kRounds = 3;
+  constexpr int kCutMs = 5'000;
+  fleet.AddMachine("front-1", "bayanzurkh");
+  fleet.AddMachine("front-2", "songino");
+  for (const char* name : {"front-1", "front-2"}) fleet.AddProxy(name);
+  fleet.SetStaleSeeds();
+  fleet.AddWorkers("bayanzurkh", 1);
+  fleet.AddWorkers("songino", 1);
+  fleet.PutConfig(7, {{"r-1", kHost, kPrefix, kBudgetMs}});
+  if (!fleet.Start()) return kCannotRun;
+  SleepMs(fleet.bounds.contact_ms);
+  Worker& worker = *fleet.workers[0];
+  // Short jobs of other clients keep the worker busy.
+  std::atomic<bool> ended{false};
+  std::thread clients([&fleet, &record, &ended] {
+    const std::string front = fleet.At("front-1").front;
+    for (int number = 0; !ended; ++number) {
+      char id[17];
+      std::snprintf(id, sizeof(id), "%016x", 0x1000 + number);
+      ClientCall call(record, "short", front,
+                      Submission(kHost, std::string(kPrefix) + id, 1, 2'000,
+                                 200, 200, kBudgetMs),
+                      kBudgetMs);
+      call.Wait();
+    }
+  });
+  std::vector<std::string> jobs;
+  for (int round = 0; round < kRounds; ++round) {
+    if (with_trouble) {
+      record.Write("bayanzurkh is cut off from songino; " + worker.Id() +
+                   " leaves stops without an answer");
+      for (const char* name : {"front-1", "front-2"}) {
+        fleet.At(name).proxy->SetCut(true);
+      }
+      worker.SetLateStops(true);
+    }
+    const std::int64_t heals_ms = record.NowMs() + kCutMs;
+    SleepMs(200);
+    const std::string job =
+        std::string(kJob).substr(0, 15) + std::to_string(round);
+    jobs.push_back(job);
+    const Message request = Submission(kHost, std::string(kPrefix) + job, 2,
+                                       2'000, 900, kWorkMs, kBudgetMs);
+    ClientCall first(record, "first", fleet.At("front-1").front, request,
+                     kBudgetMs);
+    const int status = first.Wait();
+    if (status == 0 || status == 502 || status == 504) {
+      SleepMs(fleet.bounds.resend_ms);
+      ClientCall again(record, "again", fleet.At("front-2").front, request,
+                       kBudgetMs);
+      again.Wait();
+    }
+    while (record.NowMs() < heals_ms) SleepMs(20);
+    if (with_trouble) {
+      const auto [orders, unanswered] = worker.OrderCounts();
+      record.Write(worker.Id() + " has left " + std::to_string(unanswered) +
+                   " of " + std::to_string(orders) +
+                   " orders without an answer; the cut heals");
+      worker.SetLateStops(false);
+      for (const char* name : {"front-1", "front-2"}) {
+        fleet.At(name).proxy->SetCut(false);
+      }
+    }
+    SleepMs(4'000);
+  }
+  ended = true;
+  clients.join();
+  bool broken = false;
+  for (const std::string& job : jobs) {
+    broken = HasRunsAtOnce(fleet, record, job) || broken;
+  }
+  return broken ? kBroken : kHeld;
+}
+
 // The settings name no seeds any more. Each machine is stopped and started
 // again.
 int NoSeeds(Fleet& fleet, bool with_trouble, Record& record) {
@@ -145,6 +252,9 @@
   if (scenario == "cancel-then-resend") {
     return CancelThenResend(fleet, with_trouble, record);
   }
+  if (scenario == "late-stop-behind-cut") {
+    return LateStopBehindCut(fleet, with_trouble, record);
+  }
   if (scenario == "no-seeds") return NoSeeds(fleet, with_trouble, record);
   std::cerr << "unknown scenario " << scenario << std::endl;
   return kCannotRun;
--- a/review/rig-3/worker.cc
+++ b/review/rig-3/worker.cc
@@ -14,6 +14,8 @@
 constexpr int kStepMs = 2;
 constexpr int kHeartbeatMs = 1'500;
 constexpr std::int64_t kMaxHoldMs = 1'000;
+// Shortest delay of an order that is carried out late.
+constexpr std::int64_t kLateMs = 2'000;
 
 json Refusal(std::int64_t clock_ms, const char* reason) {
   return {{"clockMs", clock_ms}, {"reason", reason}};
@@ -52,10 +54,16 @@
   this->filter = std::move(new_filter);
 }
 
-void Worker::SetLateShare(double share) {
+void Worker::SetLateStops(bool late) {
   const std::lock_guard lock(this->mutex);
-  this->late_share = share;
-  this->random.seed(std::hash<std::string>()(this->place.id));
+  this->late_stops = late;
+  this->orders = 0;
+  this->unanswered_orders = 0;
+}
+
+std::pair<int, int> Worker::OrderCounts() {
+  const std::lock_guard lock(this->mutex);
+  return {this->orders, this->unanswered_orders};
 }
 
 std::vector<Worker::History> Worker::Runs() {
@@ -154,11 +162,10 @@
     lock.lock();
     if (!passes) return false;
   }
-  if (this->late_share > 0 &&
-      std::uniform_real_distribution<>(0, 1)(this->random) < this->late_share) {
-    const std::int64_t delay_ms =
-        std::uniform_int_distribution<>(2'000, 12'000)(this->random);
-    this->late_orders.push_back({this->ClockMs() + delay_ms, request});
+  ++this->orders;
+  if (this->late_stops && request.target == "/run-stop") {
+    ++this->unanswered_orders;
+    this->late_orders.push_back({this->ClockMs() + kLateMs, request});
     return false;
   }
   this->CarryOut(lock, request, reply);
--- a/review/rig-3/worker.h
+++ b/review/rig-3/worker.h
@@ -6,9 +6,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "http.h"
@@ -52,9 +52,13 @@
   const std::string& Id() const { return this->place.id; }
   void SetFilter(Filter new_filter);
 
-  /// Leaves a share of the orders without an answer and carries them out 2 to
-  /// 12 seconds later.
-  void SetLateShare(double share);
+  /// Leaves all stop orders without an answer from now on, and carries them out
+  /// 2 s later.
+  void SetLateStops(bool late);
+
+  /// Returns the numbers of orders since the last call of SetLateStops(): all,
+  /// and those without an answer.
+  std::pair<int, int> OrderCounts();
 
   /// Returns all runs so far.
   std::vector<History> Runs();
@@ -98,8 +102,9 @@
   std::mutex mutex;
   std::condition_variable changed;
   Filter filter;
-  double late_share = 0;
-  std::mt19937 random;
+  bool late_stops = false;
+  int orders = 0;
+  int unanswered_orders = 0;
   std::vector<LateOrder> late_orders;
   std::uint64_t fence = 0;
   std::int64_t lease_until_ms = 0;
