Runs: a run whose stop is lost ends before its job may come back

What callers saw: a task at work at two endpoints for about 0.2 s (TWICE). Its job was answered with 502 and submitted again 1.3 s later in another failure domain, which was cut off, while the endpoint of the first run left its stops without an answer.

Cause: a lease counts for all runs at an endpoint. EndpointSession::Poll and SendStart renewed it for other runs, so it never ended the run whose stop was lost.

The suite JobsEnd of order_search_test passes before, too: its plays have no run beside the stopped one for so long.

Change: a run may carry the time by which it must have ended, 1.2 s after the end of its job. While its stop is not confirmed, no order grants a lease beyond that time, so the endpoint ends the run itself. Related paths with the same cause: placements at other processes (StopPlacements carries the time; the holder limits leases by the time at which an origin that is not heard from counts its runs as ended), forwarded jobs (AbandonHandedJob carries the time of the answer; a coordinator that has lost its entry limits them by the earliest time of its answer), planned stops. Runs that are stopped to start their task elsewhere may go on, since the task waits for them. Until four stop orders have had no answer the endpoint gets tasks as before; then only those that are expected to end before the leases do.

Why it works: an endpoint ends its runs when the lease expires, without any message.

Tests whose premise was a run that outlives its lost stops by renewed leases (copied_job_test, LostHolderTest.PlacementWaitsForReportOfHolderThatIsLiveAgain) reach that premise with an endpoint that ignores the end of leases; what they check is unchanged. LostOrdersTest is unchanged.

--- a/src/libs/cluster/cluster_controller.cc
+++ b/src/libs/cluster/cluster_controller.cc
@@ -190,6 +190,23 @@
          static_cast<std::uint64_t>(age / milliseconds(1));
 }
 
+std::uint64_t ClusterController::SteadyMsAt(const std::string& address,
+                                            base::TimePoint time) const {
+  const auto found = this->board.members.find(address);
+  if (found == this->board.members.end()) return 0;
+  const std::int64_t offset_ms =
+      (time - this->parts.clock.Now()) / milliseconds(1);
+  const std::int64_t steady_ms =
+      static_cast<std::int64_t>(this->SteadyMsOf(found->second)) + offset_ms;
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(1, steady_ms));
+}
+
+std::optional<base::TimePoint> ClusterController::TimeOfSteadyMs(
+    std::uint64_t steady_ms) const {
+  if (steady_ms == 0) return {};
+  return base::TimePoint(milliseconds(steady_ms));
+}
+
 bool ClusterController::IsConfirmedBy(
     const ClusterBoard::Member& member) const {
   if (!member.live || !ClusterBoard::IsReceivedBy(member)) return false;
--- a/src/libs/cluster/cluster_controller.h
+++ b/src/libs/cluster/cluster_controller.h
@@ -106,6 +106,15 @@
   /// Returns a lower bound of the steady clock of `member`, in milliseconds.
   std::uint64_t SteadyMsOf(const ClusterBoard::Member& member) const;
 
+  /// Returns a lower bound of the steady clock of the process at `address` at
+  /// `time` here, in milliseconds; 0 if the process is unknown.
+  std::uint64_t SteadyMsAt(const std::string& address,
+                           base::TimePoint time) const;
+
+  /// Returns the time at which the own steady clock shows `steady_ms`; nothing
+  /// for 0.
+  std::optional<base::TimePoint> TimeOfSteadyMs(std::uint64_t steady_ms) const;
+
   /// Returns the own steady clock in milliseconds, as sent in heartbeats.
   std::uint64_t OwnSteadyMs() const;
 
--- a/src/libs/jobs/fleet_placer.cc
+++ b/src/libs/jobs/fleet_placer.cc
@@ -161,12 +161,13 @@
   return true;
 }
 
-void FleetPlacer::Stop(const PlacedRun& placed) {
+void FleetPlacer::Stop(const PlacedRun& placed,
+                       std::optional<base::TimePoint> end_by) {
   if (placed.placement != 0) {
-    this->remote.Stop(placed.placement);
+    this->remote.Stop(placed.placement, end_by);
     return;
   }
-  this->pool.StopTask(placed.endpoint, placed.task, placed.run);
+  this->pool.StopTask(placed.endpoint, placed.task, placed.run, end_by);
 }
 
 cluster::JobRuns FleetPlacer::RunsOfOthers() const {
--- a/src/libs/jobs/fleet_placer.h
+++ b/src/libs/jobs/fleet_placer.h
@@ -34,7 +34,8 @@
   bool IsServed(const TaskRequirements& requirements) const override;
   bool Place(const Candidate& candidate, const runs::TaskOrder& order,
              runs::RunHandlers handlers, PlacedRun* placed) override;
-  void Stop(const PlacedRun& placed) override;
+  void Stop(const PlacedRun& placed,
+            std::optional<base::TimePoint> end_by) override;
   cluster::JobRuns RunsOfOthers() const override;
   cluster::JobRuns OrphanedRuns() const override;
   std::map<std::string, cluster::JobRuns> HostedRuns() const override;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -29,6 +29,9 @@
     /// Returns whether the caller is known to wait still; null for a caller
     /// whose connection ends at this process.
     std::function<bool()> is_waiting;
+    /// Returns the time before which the process that waits has not answered
+    /// the caller if it is not heard from again; null if `is_waiting` is.
+    std::function<base::TimePoint()> earliest_answer;
   };
 
   struct Task {
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -12,6 +12,7 @@
 #include "jobs/overdue_policy.h"
 #include "jobs/task_name.h"
 #include "jobs/time_limit.h"
+#include "runs/resend_time.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -61,6 +62,19 @@
          outcome == RunOutcome::kUnconfirmed;
 }
 
+// Returns the time by which the runs of a job must have ended if no process
+// that waits for its answer is heard from again; nothing if a caller waits
+// here.
+std::optional<base::TimePoint> LatestEndOf(const Job& job) {
+  std::optional<base::TimePoint> latest;
+  for (const Job::Caller& caller : job.callers) {
+    if (!caller.earliest_answer) return {};
+    const base::TimePoint end = caller.earliest_answer() + runs::kRunEndLimit;
+    latest = latest ? std::max(*latest, end) : end;
+  }
+  return latest;
+}
+
 }  // namespace
 
 JobCoordinator::JobCoordinator(base::Clock& clock, base::Metrics& metrics,
@@ -84,7 +98,7 @@
 
 std::uint64_t JobCoordinator::Submit(JobRequest request, JobResponder respond) {
   const std::uint64_t number = this->next_caller++;
-  Job::Caller caller{number, std::move(respond), nullptr};
+  Job::Caller caller{number, std::move(respond), nullptr, nullptr};
   if (this->JoinOrReject(request.id, caller)) return number;
   const auto configuration = this->catalog.GetCatalog().configuration;
   if (!configuration) {
@@ -112,13 +126,13 @@
   return number;
 }
 
-std::uint64_t JobCoordinator::Accept(JobRequest request,
-                                     const catalog::Route& route,
-                                     std::uint64_t version,
-                                     JobResponder respond,
-                                     std::function<bool()> is_waiting) {
+std::uint64_t JobCoordinator::Accept(
+    JobRequest request, const catalog::Route& route, std::uint64_t version,
+    JobResponder respond, std::function<bool()> is_waiting,
+    std::function<base::TimePoint()> earliest_answer) {
   const std::uint64_t number = this->next_caller++;
-  Job::Caller caller{number, std::move(respond), std::move(is_waiting)};
+  Job::Caller caller{number, std::move(respond), std::move(is_waiting),
+                     std::move(earliest_answer)};
   if (this->JoinOrReject(request.id, caller)) return number;
   this->Begin(std::move(request), route, version, std::move(caller));
   return number;
@@ -466,6 +480,11 @@
     if (locked_job && !locked_job->ended)
       this->OnOverdue(*locked_job, index, run, expected);
   };
+  handlers.latest_end = [weak_job] {
+    const JobPointer locked_job = weak_job.lock();
+    return locked_job && !locked_job->ended ? LatestEndOf(*locked_job)
+                                            : std::optional<base::TimePoint>();
+  };
   return handlers;
 }
 
@@ -559,7 +578,8 @@
   task.moving = true;
   task.avoid.insert(task.placed_run.endpoint);
   this->metrics.Count("jobs.moved_tasks");
-  this->placer.Stop(task.placed_run);
+  // The task waits until the run has ended, so the run may go on.
+  this->placer.Stop(task.placed_run, {});
 }
 
 void JobCoordinator::ArmTimer(Job& job) {
@@ -582,13 +602,19 @@
 }
 
 void JobCoordinator::Abandon(const std::string& id, std::uint64_t caller) {
+  this->Abandon(id, caller, this->clock.Now());
+}
+
+void JobCoordinator::Abandon(const std::string& id, std::uint64_t caller,
+                             base::TimePoint ended_at) {
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   auto& callers = found->second->callers;
   std::erase_if(callers, [caller](const Job::Caller& item) {
     return item.number == caller;
   });
-  if (callers.empty()) this->Finish(id, JobEnd::kCancelled, "caller left");
+  if (!callers.empty()) return;
+  this->Finish(id, JobEnd::kCancelled, "caller left", ended_at);
 }
 
 bool JobCoordinator::Cancel(const std::string& id) {
@@ -607,6 +633,13 @@
 
 void JobCoordinator::Finish(const std::string& id, JobEnd end,
                             const char* cause) {
+  this->Finish(id, end, cause, this->clock.Now());
+}
+
+// Ends a job whose caller left or was answered at `ended_at`, or is answered
+// now.
+void JobCoordinator::Finish(const std::string& id, JobEnd end,
+                            const char* cause, base::TimePoint ended_at) {
   const auto found = this->jobs.find(id);
   const JobPointer job = found->second;
   this->jobs.erase(found);
@@ -627,14 +660,15 @@
     this->recent_answers[id] = {end, now};
   }
   this->LogEnd(*job, end, cause, answer.retry_after);
-  this->StopRuns(*job);
+  this->StopRuns(*job, ended_at);
   this->metrics.Count(std::string("jobs.") + NameOf(end));
   for (const Job::Caller& caller : job->callers) caller.respond(answer);
   this->SchedulePlacement();
 }
 
-// Stops the runs of an ended job. A stop may report the end at once.
-void JobCoordinator::StopRuns(const Job& job) {
+// Stops the runs of a job that ended at `ended_at`. A stop may report the end
+// at once.
+void JobCoordinator::StopRuns(const Job& job, base::TimePoint ended_at) {
   if (job.placed_tasks == 0) return;
   EndingRuns& ending = this->ending_runs[job.request.id];
   for (std::size_t index = 0; index < job.tasks.size(); ++index) {
@@ -644,7 +678,7 @@
   }
   for (const Job::Task& task : job.tasks) {
     if (task.state == Job::TaskState::kPlaced)
-      this->placer.Stop(task.placed_run);
+      this->placer.Stop(task.placed_run, ended_at + runs::kRunEndLimit);
   }
 }
 
--- a/src/libs/jobs/job_coordinator.h
+++ b/src/libs/jobs/job_coordinator.h
@@ -47,11 +47,18 @@
 
   /// Accepts a job whose route another process found in version `version` of
   /// the configuration. No task is started while `is_waiting` returns false,
-  /// which tells whether that process is known to wait still. Returns a number
-  /// that identifies the waiting caller.
-  std::uint64_t Accept(JobRequest request, const catalog::Route& route,
-                       std::uint64_t version, JobResponder respond,
-                       std::function<bool()> is_waiting);
+  /// which tells whether that process is known to wait still. Runs end in time
+  /// for a copy of the job that is submitted after `earliest_answer`, the time
+  /// before which that process has not answered if it is not heard from again.
+  /// Returns a number that identifies the waiting caller.
+  std::uint64_t Accept(
+      JobRequest request, const catalog::Route& route, std::uint64_t version,
+      JobResponder respond, std::function<bool()> is_waiting,
+      std::function<base::TimePoint()> earliest_answer = nullptr);
+
+  /// Removes a caller that left, or was answered, at `ended_at`.
+  void Abandon(const std::string& id, std::uint64_t caller,
+               base::TimePoint ended_at);
 
   /// Rejects all new jobs from now on; jobs in flight continue.
   void RejectNewJobs() { this->rejecting = true; }
@@ -151,7 +158,9 @@
   void ArmTimer(Job& job);
   void OnTimer(const std::string& id);
   void Finish(const std::string& id, JobEnd end, const char* cause);
-  void StopRuns(const Job& job);
+  void Finish(const std::string& id, JobEnd end, const char* cause,
+              base::TimePoint ended_at);
+  void StopRuns(const Job& job, base::TimePoint ended_at);
   void OnEndingRunEnd(const std::string& id, std::size_t index);
   bool HasEndingRun(const Job& job, std::size_t index) const;
   void LogEnd(const Job& job, JobEnd end, const char* cause,
--- a/src/libs/jobs/job_relay.cc
+++ b/src/libs/jobs/job_relay.cc
@@ -10,6 +10,7 @@
 #include "cluster/cluster_controller.h"
 #include "cluster/rendezvous.h"
 #include "jobs/job_coordinator.h"
+#include "runs/resend_time.h"
 
 namespace hawthornwheel::jobs {
 namespace {
@@ -40,14 +41,12 @@
 // process still waits. A caller that lost the entry or the coordinator submits
 // the job again 1.3 s later.
 constexpr base::Duration kForwardValidity = milliseconds(500);
-// Time after which a caller submits a job again that was answered as
-// interrupted, and the part of it that is left to find and to stop the runs.
-// Three stop orders may be lost: kRetryInterval, three retries after 150 ms
-// each and 50 ms for the stop fit, and 150 ms in which the process or its
-// messages to the holders of the endpoints may be late. The other 500 ms exceed
-// the age of a confirmation between processes that receive each other, which is
-// two heartbeat intervals and the transit times.
-constexpr base::Duration kResendTime = milliseconds(1'300);
+// Part of runs::kResendTime that is left to find and to stop the runs. Three
+// stop orders may be lost before the leases end the runs: kRetryInterval, three
+// retries after 150 ms each and 50 ms for the stop fit, and 150 ms in which the
+// process or its messages to the holders of the endpoints may be late. The
+// other 500 ms exceed the age of a confirmation between processes that receive
+// each other, which is two heartbeat intervals and the transit times.
 constexpr base::Duration kStopReserve = milliseconds(800);
 // Time by which the answer of a coordinator may arrive after the deadline of
 // the job.
@@ -248,14 +247,20 @@
   this->parts.metrics.Count("relay.hosted");
   this->parts.cluster.BeginOpenWork(key.address);
   // The coordinator may answer before Accept() returns.
-  this->hosted[key] = {job.id(), 0, this->parts.clock.Now(), now};
+  this->hosted[key] = {job.id(), 0, this->parts.clock.Now(), now,
+                       this->EarliestAnswer(*entry)};
   const std::uint64_t caller = this->parts.coordinator.Accept(
       RequestOf(job), RouteOf(job), job.config_version(),
       [this, key](const JobAnswer& answer) {
         this->hosted.erase(key);
         this->SendAnswer(key, answer);
       },
-      [this, key] { return this->IsWaiting(key); });
+      [this, key] { return this->IsWaiting(key); },
+      [this, key] {
+        const auto found = this->hosted.find(key);
+        return found == this->hosted.end() ? this->parts.clock.Now()
+                                           : found->second.earliest_answer;
+      });
   const auto hosting = this->hosted.find(key);
   if (hosting != this->hosted.end()) hosting->second.caller = caller;
 }
@@ -274,11 +279,18 @@
   }
   const base::Duration limit =
       cluster::HeartbeatSender::HeartbeatTimeout(entry->reported_interval) +
-      kResendTime - kStopReserve;
+      runs::kResendTime - kStopReserve;
   return this->parts.clock.Now() - job.arrival >= kForwardValidity &&
          this->parts.cluster.TimeSinceConfirmed(*entry) >= limit;
 }
 
+base::TimePoint JobRelay::EarliestAnswer(
+    const cluster::ClusterBoard::Member& entry) const {
+  return this->parts.clock.Now() -
+         this->parts.cluster.TimeSinceConfirmed(entry) +
+         cluster::HeartbeatSender::HeartbeatTimeout(entry.reported_interval);
+}
+
 // Returns whether the entry process of a hosted job is known to wait still. It
 // waits when it forwards the job, and until it counts this process as lost.
 bool JobRelay::IsWaiting(const HostedKey& key) const {
@@ -323,7 +335,11 @@
   if (found != this->hosted.end()) {
     const HostedJob job = found->second;
     this->hosted.erase(found);
-    this->parts.coordinator.Abandon(job.id, job.caller);
+    const base::TimePoint now = this->parts.clock.Now();
+    const auto ended_at = this->parts.cluster.TimeOfSteadyMs(
+        envelope.abandon_handed_job().ended_steady_ms());
+    this->parts.coordinator.Abandon(job.id, job.caller,
+                                    std::min(ended_at.value_or(now), now));
   }
   this->SendAnswer(key, {JobEnd::kCancelled, {}});
 }
@@ -368,8 +384,13 @@
     orphaned_jobs.push_back(item.second);
     return true;
   });
+  for (auto& [key, job] : this->hosted) {
+    job.earliest_answer = this->EarliestAnswer(*board.FindLive(key.address));
+  }
+  const base::TimePoint now = this->parts.clock.Now();
   for (const HostedJob& job : orphaned_jobs) {
-    this->parts.coordinator.Abandon(job.id, job.caller);
+    this->parts.coordinator.Abandon(job.id, job.caller,
+                                    std::min(job.earliest_answer, now));
   }
 }
 
@@ -403,16 +424,21 @@
   const auto found = this->forwarded.find(number);
   if (found == this->forwarded.end()) return;
   const ForwardedJob& job = found->second;
-  this->abandoned[number] = {job.address, job.incarnation,
-                             job.coordinator_deadline};
-  this->SendAbandon(number, job.address);
+  const Abandonment& abandonment = this->abandoned[number] = {
+      job.address, job.incarnation, job.coordinator_deadline,
+      this->parts.clock.Now()};
+  this->SendAbandon(number, abandonment);
   this->FinishForwarded(number, {end, {}}, cause);
 }
 
-void JobRelay::SendAbandon(std::uint64_t number, const std::string& address) {
+void JobRelay::SendAbandon(std::uint64_t number,
+                           const Abandonment& abandonment) {
   wire::Envelope envelope;
-  envelope.mutable_abandon_handed_job()->set_number(number);
-  this->parts.cluster.Send(address, std::move(envelope));
+  wire::AbandonHandedJob& abandon = *envelope.mutable_abandon_handed_job();
+  abandon.set_number(number);
+  abandon.set_ended_steady_ms(this->parts.cluster.SteadyMsAt(
+      abandonment.address, abandonment.ended_at));
+  this->parts.cluster.Send(abandonment.address, std::move(envelope));
 }
 
 void JobRelay::RetryMessages() {
@@ -427,7 +453,7 @@
     return replaced || now >= abandonment.coordinator_deadline;
   });
   for (const auto& [number, abandonment] : this->abandoned) {
-    this->SendAbandon(number, abandonment.address);
+    this->SendAbandon(number, abandonment);
   }
   if (!this->pending_cancels.empty()) this->SendCancels();
   this->CheckMembers();
--- a/src/libs/jobs/job_relay.h
+++ b/src/libs/jobs/job_relay.h
@@ -11,6 +11,7 @@
 
 #include "base/timer.h"
 #include "catalog/route.h"
+#include "cluster/cluster_board.h"
 #include "jobs/job_gateway.h"
 #include "wire/peer.pb.h"
 
@@ -102,6 +103,8 @@
     std::string incarnation;
     /// Time by which the coordinator ends the job by itself.
     base::TimePoint coordinator_deadline;
+    /// Time at which the caller left or was answered.
+    base::TimePoint ended_at;
   };
   /// Holds a job of another entry process with its caller number in the
   /// coordinator.
@@ -111,6 +114,9 @@
     base::TimePoint arrival;
     /// Own steady clock in milliseconds at its arrival.
     std::uint64_t arrival_steady_ms = 0;
+    /// Time before which its entry process has not answered the caller if it is
+    /// not heard from again.
+    base::TimePoint earliest_answer;
   };
   /// Identifies a hosted job by address and incarnation of its entry process
   /// and by its number there.
@@ -126,7 +132,7 @@
   };
 
   void GiveUp(std::uint64_t number, JobEnd end, const char* cause);
-  void SendAbandon(std::uint64_t number, const std::string& address);
+  void SendAbandon(std::uint64_t number, const Abandonment& abandonment);
   void RetryMessages();
   std::string CoordinatorFor(const std::string& job) const;
   std::string ChooseCoordinator(const std::string& job) const;
@@ -138,6 +144,8 @@
   void SendCancels();
   void ReceiveCancels(const wire::CancelJobs& cancels);
   bool IsGivenUp(const HostedKey& key, const HostedJob& job) const;
+  base::TimePoint EarliestAnswer(
+      const cluster::ClusterBoard::Member& entry) const;
   bool IsWaiting(const HostedKey& key) const;
   void ReceiveAnswer(const wire::Envelope& envelope);
   void ReceiveAbandon(const wire::Envelope& envelope);
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "cluster/job_runs.h"
 #include "jobs/candidate.h"
 #include "jobs/endpoint_choice.h"
@@ -43,8 +45,11 @@
   virtual bool Place(const Candidate& candidate, const runs::TaskOrder& order,
                      runs::RunHandlers handlers, PlacedRun* placed) = 0;
 
-  /// Stops a placed run.
-  virtual void Stop(const PlacedRun& placed) = 0;
+  /// Stops a placed run, which must have ended by `end_by`, also if its
+  /// endpoint leaves stop orders without an answer. Without `end_by`, it may go
+  /// on until one arrives.
+  virtual void Stop(const PlacedRun& placed,
+                    std::optional<base::TimePoint> end_by) = 0;
 
   /// Returns the jobs with runs in progress that this process has not placed:
   /// runs of other processes at its endpoints, and those that other processes
--- a/src/libs/runs/endpoint_pool.cc
+++ b/src/libs/runs/endpoint_pool.cc
@@ -109,9 +109,10 @@
 }
 
 void EndpointPool::StopTask(const std::string& endpoint,
-                            const std::string& task, std::uint64_t run) {
+                            const std::string& task, std::uint64_t run,
+                            std::optional<base::TimePoint> end_by) {
   const auto found = this->sessions.find(endpoint);
-  if (found != this->sessions.end()) found->second->Stop(task, run);
+  if (found != this->sessions.end()) found->second->Stop(task, run, end_by);
 }
 
 std::vector<RunKey> EndpointPool::ForeignRuns() const {
--- a/src/libs/runs/endpoint_pool.h
+++ b/src/libs/runs/endpoint_pool.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_set>
@@ -53,9 +54,9 @@
   /// of this process: another process may have placed a copy of its job.
   bool StartTask(const TaskOrder& order, RunHandlers handlers);
 
-  /// Stops a run. Its handler is called when it has ended.
+  /// Stops a run; see EndpointSession::Stop().
   void StopTask(const std::string& endpoint, const std::string& task,
-                std::uint64_t run);
+                std::uint64_t run, std::optional<base::TimePoint> end_by);
 
   /// Returns the runs at the endpoints of this process that an earlier holder
   /// started.
--- a/src/libs/runs/endpoint_run.cc
+++ b/src/libs/runs/endpoint_run.cc
@@ -19,6 +19,9 @@
 // projected one.
 constexpr double kLateDeclaredFactor = 1.35;
 constexpr double kLateProjectedFactor = 1.08;
+// Number of stop orders that may be lost one by one. If more have no answer,
+// the endpoint probably carries out none.
+constexpr int kMaxLostStops = 3;
 
 base::Duration Scale(base::Duration span, double factor) {
   return base::Duration(static_cast<base::Duration::rep>(
@@ -75,6 +78,20 @@
          list_clock_ms > this->stop_clock_ms + stop_ms;
 }
 
+std::optional<base::TimePoint> EndpointRun::LeaseLimit() const {
+  if (this->state == State::kHeld || this->stop_clock_ms != 0) return {};
+  std::optional<base::TimePoint> limit = this->end_by;
+  const auto latest = this->handlers.latest_end
+                          ? this->handlers.latest_end()
+                          : std::optional<base::TimePoint>();
+  if (latest) limit = limit ? std::min(*limit, *latest) : *latest;
+  return limit;
+}
+
+bool EndpointRun::IsStopLost() const {
+  return this->stop_clock_ms == 0 && this->stop_orders > kMaxLostStops;
+}
+
 base::TimePoint EndpointRun::ExpectedEnd(base::TimePoint now, double pace,
                                          base::Duration stop_time) const {
   if (this->state == State::kStopping) return now + stop_time;
--- a/src/libs/runs/endpoint_run.h
+++ b/src/libs/runs/endpoint_run.h
@@ -56,6 +56,15 @@
   /// `list_clock_ms` is the endpoint's clock in milliseconds at the list.
   bool HasStoppedBy(std::int64_t list_clock_ms, base::Duration stop_time) const;
 
+  /// Returns the time by which the leases at the endpoint have to expire for
+  /// the sake of this run; nothing if they may be renewed. A confirmed stop
+  /// ends the run without that.
+  std::optional<base::TimePoint> LeaseLimit() const;
+
+  /// Returns whether stop orders were lost, and as many that the next ones are
+  /// likely to be lost, too.
+  bool IsStopLost() const;
+
   /// Returns the time at which the run is expected to end at an endpoint of
   /// pace `pace`: by its progress, or by its declared run time. An end that has
   /// not come when it was expected lies ahead by a share of the run's age.
@@ -96,6 +105,8 @@
   std::optional<base::TimePoint> stop_requested;
   /// Number of stop orders that were sent.
   int stop_orders = 0;
+  /// Time by which the run must have ended; empty for none.
+  std::optional<base::TimePoint> end_by;
   std::unique_ptr<base::Timer> timer;
 };
 
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -112,7 +112,7 @@
     return false;
   }
   const RunKey key{order.task, order.run};
-  if (this->runs.contains(key)) return false;
+  if (this->runs.contains(key) || !this->HasTimeFor(order)) return false;
   const bool verified = this->IsVerified();
   Run& run = this->runs[key];
   run.order = order;
@@ -144,6 +144,30 @@
   return this->failures.IsAwaitingList() || this->incarnation.HasRecentList();
 }
 
+// Returns the duration of the lease that an order may grant now. Leases count
+// for all runs, so none lasts beyond the time by which one of them must have
+// ended whose stop is not confirmed.
+base::Duration EndpointSession::GrantableLease() const {
+  const auto limit = LeaseLimit(this->runs);
+  if (!limit) return this->parts.settings.lease;
+  return std::min(this->parts.settings.lease,
+                  LeaseExpiry::LongestLease(*limit - this->parts.clock.Now()));
+}
+
+// Returns whether a task can be started although the leases may expire soon. If
+// that is likely, the task has to end before.
+bool EndpointSession::HasTimeFor(const TaskOrder& order) const {
+  const base::Duration lease = this->GrantableLease();
+  if (lease >= this->parts.settings.lease) return true;
+  const base::Duration needed =
+      IsAnyStopLost(this->runs)
+          ? base::Duration(static_cast<base::Duration::rep>(
+                static_cast<double>(order.estimate.count()) *
+                this->health.Pace()))
+          : this->parts.settings.answer_time;
+  return lease >= needed;
+}
+
 void EndpointSession::SendStart(const RunKey& key) {
   const base::TimePoint now = this->parts.clock.Now();
   Run& run = this->runs.at(key);
@@ -162,9 +186,9 @@
   start.task = run.order.task;
   start.run = run.order.run;
   start.payload = run.order.payload;
-  start.lease_until_ms =
-      this->incarnation.LeaseUntil(this->parts.settings.lease);
-  this->lease_expiry.Extend(now, this->parts.settings.lease);
+  const base::Duration lease = this->GrantableLease();
+  start.lease_until_ms = this->incarnation.LeaseUntil(lease);
+  this->lease_expiry.Extend(now, lease);
   this->parts.metrics.Count("runs.starts");
   this->parts.orders.Start(
       start,
@@ -183,7 +207,8 @@
       this->parts.settings.recheck_after + 2 * this->parts.settings.answer_time;
   const base::TimePoint now = this->parts.clock.Now();
   for (const RunKey& key : HeldRuns(this->runs)) {
-    if (now - this->runs.at(key).started > max_held) {
+    const Run& run = this->runs.at(key);
+    if (now - run.started > max_held || !this->HasTimeFor(run.order)) {
       this->End(key, RunOutcome::kNotRun);
     } else {
       this->SendStart(key);
@@ -256,16 +281,19 @@
   }
 }
 
-void EndpointSession::Stop(const std::string& task, std::uint64_t run_number) {
+void EndpointSession::Stop(const std::string& task, std::uint64_t run_number,
+                           std::optional<base::TimePoint> end_by) {
   const RunKey key{task, run_number};
   const auto found = this->runs.find(key);
   if (found == this->runs.end()) return;
-  if (found->second.state == RunState::kStopping) return;
-  if (found->second.state == RunState::kHeld) {
+  Run& run = found->second;
+  if (end_by) run.end_by = run.end_by ? std::min(*run.end_by, *end_by) : end_by;
+  if (run.state == RunState::kStopping) return;
+  if (run.state == RunState::kHeld) {
     this->End(key, RunOutcome::kNotRun);
     return;
   }
-  found->second.state = RunState::kStopping;
+  run.state = RunState::kStopping;
   this->SendStop(key);
 }
 
@@ -276,7 +304,9 @@
   if (!run.timer) run.timer = std::make_unique<base::Timer>(this->parts.clock);
   run.timer->StartOnce(kStopRetry, [this, key] { this->SendStop(key); });
   if (!run.stop_requested) run.stop_requested = this->parts.clock.Now();
+  const bool was_lost = run.IsStopLost();
   ++run.stop_orders;
+  if (!was_lost && run.IsStopLost()) this->ReportLostStop(key, run);
   this->parts.metrics.Count("runs.stops");
   this->parts.orders.Stop(
       this->Target(this->parts.settings.answer_time), key.first, key.second,
@@ -338,11 +368,11 @@
   order.target = this->Target(wait + this->parts.settings.answer_time);
   order.acked_end_seq = this->incarnation.SeenEndSeq();
   order.wait = wait;
+  const base::Duration lease = this->GrantableLease();
   if (HasLease(this->runs) && this->incarnation.HasClock() &&
-      !this->failures.IsSilent()) {
-    order.lease_until_ms =
-        this->incarnation.LeaseUntil(this->parts.settings.lease);
-    this->lease_expiry.Extend(now, this->parts.settings.lease);
+      !this->failures.IsSilent() && lease > base::Duration{0}) {
+    order.lease_until_ms = this->incarnation.LeaseUntil(lease);
+    this->lease_expiry.Extend(now, lease);
   }
   this->parts.metrics.Count("runs.polls");
   this->parts.orders.Poll(
@@ -604,6 +634,9 @@
     const auto found = this->runs.find(key);
     if (found == this->runs.end()) continue;
     const base::TimePoint now = this->parts.clock.Now();
+    if (reported.kind == RunEndKind::kLeaseExpired && found->second.end_by) {
+      this->ReportLapse(key, found->second);
+    }
     const RunOutcome outcome = OutcomeOf(reported.kind);
     if (outcome == RunOutcome::kDone && !found->second.foreign) {
       this->health.RecordDone(found->second.order.estimate,
@@ -758,6 +791,28 @@
   on_end(outcome);
 }
 
+void EndpointSession::ReportLostStop(const RunKey& key, const Run& run) {
+  const base::TimePoint now = this->parts.clock.Now();
+  this->parts.metrics.Count("runs.lost_stops");
+  kLog.Warning(
+      "Stop orders have no answer. endpoint={} task={} run={} orders={} "
+      "stop_ms={} renewed_for_ms={} runs={}",
+      this->entry.id, key.first, key.second, run.stop_orders - 1,
+      (now - *run.stop_requested) / milliseconds(1),
+      run.end_by ? (*run.end_by - now) / milliseconds(1) : -1,
+      this->runs.size());
+}
+
+void EndpointSession::ReportLapse(const RunKey& key, const Run& run) {
+  this->parts.metrics.Count("runs.lapsed_stops");
+  kLog.Warning(
+      "Leases have expired to end a run whose stop was not confirmed. "
+      "endpoint={} task={} run={} orders={} stop_ms={} runs={}",
+      this->entry.id, key.first, key.second, run.stop_orders,
+      (this->parts.clock.Now() - *run.stop_requested) / milliseconds(1),
+      this->runs.size());
+}
+
 // Records how long a run that has ended went on after its first stop order.
 void EndpointSession::RecordStop(const RunKey& key, const Run& run,
                                  RunOutcome outcome) {
--- a/src/libs/runs/endpoint_session.h
+++ b/src/libs/runs/endpoint_session.h
@@ -94,17 +94,24 @@
 
   /// Starts a task. Returns false without any effect when the endpoint is not
   /// open, has too few free resources, already has this run, or was chosen by
-  /// the entry of another incarnation.
+  /// the entry of another incarnation, and when the leases there are likely to
+  /// expire before the task ends.
   bool Start(const TaskOrder& order, RunHandlers handlers);
 
-  /// Stops a run. Its handler is called when it has ended.
-  void Stop(const std::string& task, std::uint64_t run);
+  /// Stops a run. Its handler is called when it has ended. If the endpoint does
+  /// not confirm the stop, the leases there are not renewed beyond `end_by`, so
+  /// that the run has ended by then, and with it all others at the endpoint.
+  /// Without `end_by`, the run may go on until a stop order arrives.
+  void Stop(const std::string& task, std::uint64_t run,
+            std::optional<base::TimePoint> end_by);
 
  private:
   using Run = EndpointRun;
   using RunState = EndpointRun::State;
 
   bool IsVerified() const;
+  base::Duration GrantableLease() const;
+  bool HasTimeFor(const TaskOrder& order) const;
   void SendStart(const RunKey& key);
   void SendHeld();
   void EndHeld();
@@ -140,6 +147,8 @@
   bool CheckIncarnation(std::int64_t reported_start_ms);
   OrderTarget Target(base::Duration timeout) const;
   void End(const RunKey& key, RunOutcome outcome);
+  void ReportLostStop(const RunKey& key, const Run& run);
+  void ReportLapse(const RunKey& key, const Run& run);
   void RecordStop(const RunKey& key, const Run& run, RunOutcome outcome);
   void Settle(const RunKey& key, RunOutcome outcome,
               SettlementEvidence evidence);
--- a/src/libs/runs/lease_expiry.cc
+++ b/src/libs/runs/lease_expiry.cc
@@ -21,6 +21,11 @@
       this->time, now + lease * kSlowClockPercent / kWholePercent + kMargin);
 }
 
+base::Duration LeaseExpiry::LongestLease(base::Duration time) {
+  return std::max(base::Duration{0},
+                  (time - kMargin) * kWholePercent / kSlowClockPercent);
+}
+
 base::Duration LeaseExpiry::TimeLeft(base::TimePoint now) const {
   return std::max(base::Duration{0}, this->time - now);
 }
--- a/src/libs/runs/lease_expiry.h
+++ b/src/libs/runs/lease_expiry.h
@@ -15,6 +15,10 @@
   /// `now`.
   void Extend(base::TimePoint now, base::Duration lease);
 
+  /// Returns the longest lease that has expired within `time` when an order
+  /// that is sent now grants it; 0 if there is none.
+  static base::Duration LongestLease(base::Duration time);
+
   /// Returns the time from `now` until the leases have expired; 0 after that.
   base::Duration TimeLeft(base::TimePoint now) const;
 
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "cluster/cluster_controller.h"
 #include "runs/endpoint_pool.h"
+#include "runs/resend_time.h"
 
 namespace hawthornwheel::runs {
 namespace {
@@ -30,14 +31,17 @@
 // second after its last order. If it still runs, it gets the stop, or it stops
 // the runs by itself: its latest heartbeat that this process can have confirmed
 // was sent HeartbeatTimeout() before the loss, and it acts kStopReserve before
-// the end of this time.
+// the end of this time. It renews no lease beyond kLostRunsEnd.
 constexpr base::Duration kLostRunsTimeout = milliseconds(1'200);
+// The rest of that time covers messages and timers that are late.
+constexpr base::Duration kLostRunsEnd = kLostRunsTimeout - milliseconds(100);
 constexpr base::Duration kCheckInterval = milliseconds(100);
 // Part of that time which is left to find and to stop the runs. Three stop
-// orders may be lost: kCheckInterval, three retries after 150 ms each and 50 ms
-// for the stop fit, and 100 ms in which the process may be late. The other
-// 500 ms exceed the age of a confirmation between processes that receive each
-// other, which is two heartbeat intervals and the transit times.
+// orders may be lost before the leases end the run: kCheckInterval, three
+// retries after 150 ms each and 50 ms for the stop fit, and 100 ms in which the
+// process may be late. The other 500 ms exceed the age of a confirmation
+// between processes that receive each other, which is two heartbeat intervals
+// and the transit times.
 constexpr base::Duration kStopReserve = milliseconds(700);
 // Interval at which a stop is sent again until the end is reported.
 constexpr base::Duration kStopRetry = milliseconds(150);
@@ -113,7 +117,8 @@
   }
 }
 
-void RemoteRuns::Stop(std::uint64_t placement) {
+void RemoteRuns::Stop(std::uint64_t placement,
+                      std::optional<base::TimePoint> end_by) {
   const auto found = this->placements.find(placement);
   if (found == this->placements.end()) return;
   if (this->Withdraw(placement, found->second)) {
@@ -121,6 +126,7 @@
     return;
   }
   found->second.stopping = true;
+  if (end_by) found->second.end_by = end_by;
   this->SendStop(placement, found->second);
 }
 
@@ -144,7 +150,12 @@
 void RemoteRuns::SendStop(std::uint64_t id, Placement& placement) {
   placement.stop_sent = this->clock.Now();
   wire::Envelope envelope;
-  envelope.mutable_stop_placements()->add_placements(id);
+  wire::StopPlacements& stop = *envelope.mutable_stop_placements();
+  stop.add_placements(id);
+  if (placement.end_by) {
+    stop.set_end_by_steady_ms(
+        this->cluster.SteadyMsAt(placement.address, *placement.end_by));
+  }
   this->cluster.Send(placement.address, std::move(envelope));
 }
 
@@ -239,12 +250,21 @@
   handlers.on_overdue = [this, key](base::Duration expected) {
     this->ReportOverdue(key, expected);
   };
+  handlers.latest_end = [this, key] {
+    const auto found = this->hosted.find(key);
+    return found == this->hosted.end()
+               ? std::optional<base::TimePoint>()
+               : std::optional(found->second.latest_end);
+  };
   if (!this->pool.StartTask(order, std::move(handlers))) {
     this->metrics.Count("remote.no_room");
     this->Report(key, RunOutcome::kNotRun);
     return;
   }
-  this->hosted[key] = {order.endpoint, order.task, order.run};
+  const cluster::ClusterBoard::Member& origin =
+      *this->cluster.Board().FindLive(std::get<0>(key));
+  this->hosted[key] = {order.endpoint, order.task, order.run,
+                       this->LatestEnd(origin)};
   this->cluster.BeginOpenWork(std::get<0>(key));
   this->metrics.Count("remote.hosted");
 }
@@ -322,6 +342,10 @@
 }
 
 void RemoteRuns::ReceiveStop(const wire::Envelope& envelope) {
+  auto end_by = this->cluster.TimeOfSteadyMs(
+      envelope.stop_placements().end_by_steady_ms());
+  // The sender counts a pause of this process as time of its clock.
+  if (end_by) end_by = std::min(*end_by, this->clock.Now() + kRunEndLimit);
   for (const std::uint64_t placement :
        envelope.stop_placements().placements()) {
     const HostedKey key{envelope.sender_address(), envelope.sender(),
@@ -335,7 +359,7 @@
       continue;
     }
     const Hosted run = found->second;
-    this->pool.StopTask(run.endpoint, run.task, run.run);
+    this->pool.StopTask(run.endpoint, run.task, run.run, end_by);
   }
 }
 
@@ -377,6 +401,9 @@
       // The holder may still run and receive messages; without a stop it would
       // continue the task.
       placement.stopping = true;
+      const base::TimePoint end_by = now + kLostRunsEnd;
+      placement.end_by =
+          placement.end_by ? std::min(*placement.end_by, end_by) : end_by;
       this->SendStop(id, placement);
     }
     if (now - *placement.lost_at < kLostRunsTimeout) continue;
@@ -415,7 +442,11 @@
   std::vector<Hosted> orphans;
   for (auto& [key, run] : this->hosted) {
     const char* cause = this->CauseToStop(key);
-    if (cause == nullptr) continue;
+    if (cause == nullptr) {
+      run.latest_end =
+          this->LatestEnd(*this->cluster.Board().FindLive(std::get<0>(key)));
+      continue;
+    }
     orphans.push_back(run);
     if (std::exchange(run.orphaned, true)) continue;
     const cluster::ClusterBoard::Member* origin =
@@ -429,7 +460,7 @@
             : this->cluster.TimeSinceConfirmed(*origin) / milliseconds(1));
   }
   for (const Hosted& run : orphans) {
-    this->pool.StopTask(run.endpoint, run.task, run.run);
+    this->pool.StopTask(run.endpoint, run.task, run.run, run.latest_end);
   }
 }
 
@@ -451,6 +482,15 @@
   return "its process confirms no heartbeats";
 }
 
+// Returns the time by which the runs of a process must have ended if it
+// confirms no further heartbeat: before it counts them as ended.
+base::TimePoint RemoteRuns::LatestEnd(
+    const cluster::ClusterBoard::Member& origin) const {
+  return this->clock.Now() - this->cluster.TimeSinceConfirmed(origin) +
+         cluster::HeartbeatSender::HeartbeatTimeout(origin.reported_interval) +
+         kLostRunsEnd;
+}
+
 // Forgets decisions on requests that would be refused as late by now.
 void RemoteRuns::DropSettled() {
   const std::uint64_t now = this->cluster.OwnSteadyMs();
--- a/src/libs/runs/remote_runs.h
+++ b/src/libs/runs/remote_runs.h
@@ -43,8 +43,9 @@
   std::uint64_t Place(const std::string& address, const TaskOrder& order,
                       RunHandlers handlers);
 
-  /// Stops a placed task.
-  void Stop(std::uint64_t placement);
+  /// Stops a placed task, which must have ended by `end_by`; see
+  /// EndpointSession::Stop().
+  void Stop(std::uint64_t placement, std::optional<base::TimePoint> end_by);
 
   /// Processes an envelope. Returns false for one that is not about placements.
   bool Receive(const wire::Envelope& envelope);
@@ -94,6 +95,9 @@
     /// is reported.
     bool stopping = false;
     base::TimePoint stop_sent;
+    /// Time by which the run must have ended when it is stopped; empty for
+    /// none.
+    std::optional<base::TimePoint> end_by;
     /// Time at which the holder was lost; empty while it is live.
     std::optional<base::TimePoint> lost_at;
   };
@@ -102,6 +106,9 @@
     std::string endpoint;
     std::string task;
     std::uint64_t run = 0;
+    /// Time before which its process does not count it as ended, and by which
+    /// it must have ended if that process is not heard from again.
+    base::TimePoint latest_end;
     /// Whether it is being stopped because its process is lost.
     bool orphaned = false;
   };
@@ -136,6 +143,7 @@
   void LogEndByTime(const Placement& placement) const;
   void CheckOrigins();
   const char* CauseToStop(const HostedKey& key) const;
+  base::TimePoint LatestEnd(const cluster::ClusterBoard::Member& origin) const;
   void DropSettled();
 
   base::Clock& clock;
--- a/src/libs/runs/run_map.cc
+++ b/src/libs/runs/run_map.cc
@@ -43,6 +43,21 @@
   });
 }
 
+std::optional<base::TimePoint> LeaseLimit(const RunMap& runs) {
+  std::optional<base::TimePoint> limit;
+  for (const auto& [key, run] : runs) {
+    const auto of_run = run.LeaseLimit();
+    if (of_run) limit = limit ? std::min(*limit, *of_run) : *of_run;
+  }
+  return limit;
+}
+
+bool IsAnyStopLost(const RunMap& runs) {
+  return AnyRun(runs, [](const EndpointRun& run) {
+    return run.end_by && run.IsStopLost();
+  });
+}
+
 bool IsAnyWatched(const RunMap& runs, base::TimePoint now) {
   return AnyRun(runs,
                 [now](const EndpointRun& run) { return run.IsWatched(now); });
--- a/src/libs/runs/run_map.h
+++ b/src/libs/runs/run_map.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,13 @@
 /// Returns whether a run has a lease that polls renew.
 bool HasLease(const RunMap& runs);
 
+/// Returns the time by which the leases have to expire, since a run must have
+/// ended by then whose stop is not confirmed; nothing if they may be renewed.
+std::optional<base::TimePoint> LeaseLimit(const RunMap& runs);
+
+/// Returns whether the leases are likely to expire at LeaseLimit().
+bool IsAnyStopLost(const RunMap& runs);
+
 /// Returns whether the progress of a run is read more often.
 bool IsAnyWatched(const RunMap& runs, base::TimePoint now);
 
--- a/src/libs/runs/task_order.h
+++ b/src/libs/runs/task_order.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -59,6 +60,10 @@
   /// Called when the progress of the run shows that it will end too late, with
   /// the projected total run time. May be called more than once.
   std::function<void(base::Duration expected)> on_overdue;
+  /// Returns the time by which the run must have ended if the process that
+  /// waits for it is not heard from again; nothing while there is none. Empty
+  /// if the run is for this process.
+  std::function<std::optional<base::TimePoint>()> latest_end;
 };
 
 }  // namespace hawthornwheel::runs
--- a/tests/jobs/copied_job_test.cc
+++ b/tests/jobs/copied_job_test.cc
@@ -77,9 +77,12 @@
     this->answer.reset();
   }
 
+  // Makes runs go on: their stops are lost, and the leases that are not renewed
+  // for their sake do not end them either.
   void LoseStops(bool lost) {
     LeasedEndpoints::Faults faults;
     faults.stops_lost = lost ? 1 : 0;
+    faults.leases_ignored = lost;
     this->fleet.endpoints.SetFaults(faults);
   }
 
--- a/tests/jobs/hosted_rules_test.cc
+++ b/tests/jobs/hosted_rules_test.cc
@@ -509,7 +509,7 @@
   this->StartTwoDomains();
   const runs::TaskOrder order = this->OrderAtSouth0("t", seconds(1));
   const std::uint64_t placement = this->PlaceAtSouth0("north0", order);
-  this->fleet.Process("north0").remote.Stop(placement);
+  this->fleet.Process("north0").remote.Stop(placement, {});
   this->fleet.Run(milliseconds(500));
   EXPECT_EQ(this->fleet.endpoints.Starts(), 0U);
   EXPECT_EQ(this->ends,
@@ -527,7 +527,7 @@
       this->PlaceAtSouth0("north0", this->OrderAtSouth0("t", seconds(1)));
   this->fleet.Run(milliseconds(1));
   this->fleet.network.Calm("north0", "south0");
-  this->fleet.Process("north0").remote.Stop(placement);
+  this->fleet.Process("north0").remote.Stop(placement, {});
   this->fleet.Run(milliseconds(50));
   EXPECT_EQ(this->ends, std::vector<runs::RunOutcome>{runs::RunOutcome::kLost});
   this->fleet.Run(milliseconds(500));
--- a/tests/jobs/job_coordinator_test.cc
+++ b/tests/jobs/job_coordinator_test.cc
@@ -51,7 +51,9 @@
     this->runs.push_back(order.run);
     return true;
   }
-  void Stop(const jobs::PlacedRun&) override { ++this->stops; }
+  void Stop(const jobs::PlacedRun&, std::optional<base::TimePoint>) override {
+    ++this->stops;
+  }
   void SetTasksWaiting(bool) override {}
 
   std::vector<Candidate> offered = {MakeCandidate("e", 1, 1'000'000),
--- a/tests/jobs/lost_holder_test.cc
+++ b/tests/jobs/lost_holder_test.cc
@@ -165,6 +165,22 @@
   }
 }
 
+// As above: no stop order arrives, and another run keeps the lease renewed.
+TEST(LostHolderTest, RunOfUnheardHolderHasEndedThoughNoStopOrderArrives) {
+  for (const int check_phase_ms : {0, 50, 90}) {
+    for (int phase_ms = 0; phase_ms < kHeartbeatMs; phase_ms += kPhaseStepMs) {
+      HolderFleet world{milliseconds(phase_ms), milliseconds(check_phase_ms)};
+      world.StartOtherRun();
+      world.fleet.endpoints.SetFaults({.stops_lost = 1});
+      world.LoseHolder();
+      world.fleet.Run(seconds(3));
+      EXPECT_EQ(world.ends, std::vector<RunOutcome>{RunOutcome::kLost});
+      EXPECT_FALSE(world.ended_at_work)
+          << "phase " << phase_ms << ", check " << check_phase_ms;
+    }
+  }
+}
+
 // As above: the holder is paused for 100 ms about when it has to act, and one
 // stop order is lost.
 TEST(LostHolderTest, RunOfUnheardHolderHasEndedThoughItIsLate) {
@@ -192,7 +208,8 @@
   for (int phase_ms = 0; phase_ms < kHeartbeatMs; phase_ms += kPhaseStepMs) {
     HolderFleet world{milliseconds(phase_ms)};
     world.StartOtherRun();
-    world.fleet.endpoints.SetFaults({.stops_lost = 1});
+    // Neither a stop nor the end of its lease ends the run.
+    world.fleet.endpoints.SetFaults({.stops_lost = 1, .leases_ignored = true});
     world.fleet.network.Cut(kHolder, kOrigin);
     while (world.IsHolderLive()) world.fleet.Run(milliseconds(1));
     world.fleet.network.HealAll();
--- a/tests/jobs/overdue_run_test.cc
+++ b/tests/jobs/overdue_run_test.cc
@@ -50,7 +50,9 @@
     }
     return true;
   }
-  void Stop(const jobs::PlacedRun&) override { ++this->stops; }
+  void Stop(const jobs::PlacedRun&, std::optional<base::TimePoint>) override {
+    ++this->stops;
+  }
   void SetTasksWaiting(bool) override {}
   bool TasksWait() const override { return this->tasks_wait; }
 
--- a/tests/platform/job_front_test.cc
+++ b/tests/platform/job_front_test.cc
@@ -46,7 +46,9 @@
         [handlers, outcome = this->outcome] { handlers.on_end(outcome); });
     return true;
   }
-  void Stop(const jobs::PlacedRun&) override { ++this->stops; }
+  void Stop(const jobs::PlacedRun&, std::optional<base::TimePoint>) override {
+    ++this->stops;
+  }
   void SetTasksWaiting(bool) override {}
 
   base::GlibClock clock;
--- a/tests/runs/next_free_test.cc
+++ b/tests/runs/next_free_test.cc
@@ -50,7 +50,7 @@
     order.resources = {32'000, 64, 0};
     order.estimate = estimate;
     order.time_left = seconds(3);
-    ASSERT_TRUE(this->session->Start(order, {[](runs::RunOutcome) {}, {}}));
+    ASSERT_TRUE(this->session->Start(order, {[](runs::RunOutcome) {}, {}, {}}));
     runs::OrderReply reply;
     reply.outcome = runs::OrderOutcome::kAccepted;
     reply.clock_ms = ++this->endpoint_ms;
--- a/tests/runs/order_search_test.cc
+++ b/tests/runs/order_search_test.cc
@@ -6,7 +6,8 @@
 // starts afterwards; no two runs of a task are at work at the same time; the
 // endpoint is never over its capacity, and its holder offers no resources that
 // a run uses; a start without an answer is rechecked in time and settled by the
-// first list that shows its outcome; at last every run has been settled, no run
+// first list that shows its outcome; a run whose job has ended is not at work
+// when a copy of the job may come; at last every run has been settled, no run
 // goes on, the endpoint is held, and an idle endpoint is not asked again.
 //
 // ORDER_FAULTS sets the number of faults of the exhaustive part, ORDER_CHOICES
@@ -167,6 +168,17 @@
                                         .slow_clock = true}),
     NameOf);
 
+// The runs that are to stop belong to jobs that have ended.
+INSTANTIATE_TEST_SUITE_P(
+    JobsEnd, OrderSearchTest,
+    ::testing::Values(OrderWorld::Setup{.jobs_end = true},
+                      OrderWorld::Setup{.two_claims = true, .jobs_end = true},
+                      OrderWorld::Setup{.slow_clock = true, .jobs_end = true},
+                      OrderWorld::Setup{.two_claims = true,
+                                        .slow_clock = true,
+                                        .jobs_end = true}),
+    NameOf);
+
 // An order that is carried out late holds its whole lease from then on.
 INSTANTIATE_TEST_SUITE_P(
     LeaseOnArrival, OrderSearchTest,
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -521,6 +521,7 @@
           endpoint.clock_rate));
   endpoint.lease_timer =
       this->clock.StartTimer(left, [this, id = endpoint.entry.id] {
+        if (this->faults.leases_ignored) return;
         Endpoint& expired = this->endpoints[id];
         while (!expired.runs.empty()) {
           this->End(expired, expired.runs.begin()->first,
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -44,6 +44,9 @@
     double connection_ends = 0;
     /// Fraction of stop orders, from 0 to 1, that never arrive.
     double stops_lost = 0;
+    /// Whether runs go on after their lease has expired, which no sound
+    /// endpoint lets them.
+    bool leases_ignored = false;
     /// Fraction of orders, from 0 to 1, that are refused with kOverloaded and
     /// have no effect.
     double overloaded = 0;
--- a/tests/support/order_world.cc
+++ b/tests/support/order_world.cc
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <optional>
 #include <utility>
 
+#include "runs/resend_time.h"
+
 namespace hawthornwheel::testing {
 namespace {
 
@@ -336,15 +339,29 @@
     if (!task.placed) continue;
     this->Note(fmt::format("{}/{} is to stop", task.name, task.run));
     const RunKey key{task.name, task.run};
+    std::optional<base::TimePoint> end_by;
+    if (this->setup.jobs_end) {
+      end_by = this->clock.Now() + runs::kRunEndLimit;
+      this->clock.StartTimer(runs::kRunEndLimit,
+                             [this, key] { this->CheckEnded(key); });
+    }
     for (const auto& process : this->processes) {
       if (process->session && !process->clock.IsPaused()) {
-        process->session->Stop(key.first, key.second);
+        process->session->Stop(key.first, key.second, end_by);
       }
     }
     return;
   }
 }
 
+// Checks a run whose job has ended so long ago that a copy of it may come.
+void OrderWorld::CheckEnded(const RunKey& key) {
+  if (!this->endpoint.IsAtWork(key)) return;
+  if (this->overtaken_runs.contains(key)) this->is_open = true;
+  this->Violate(fmt::format("{}/{} is at work after the end of its job",
+                            key.first, key.second));
+}
+
 // Everything must have ended, and an idle endpoint is not asked again and
 // again.
 void OrderWorld::CheckEnd() {
--- a/tests/support/order_world.h
+++ b/tests/support/order_world.h
@@ -30,6 +30,9 @@
     bool slow_clock = false;
     /// The endpoint grants leases from the arrival of their orders on.
     bool lease_on_arrival = false;
+    /// The job of a run that is to stop has ended, so the run must have ended
+    /// by the time at which a copy of the job may come.
+    bool jobs_end = false;
     /// Whether a trace of the events is kept.
     bool traced = false;
   };
@@ -92,6 +95,7 @@
   void Pause(std::size_t process, base::Duration span);
   void Cut(std::size_t process, base::Duration span);
   void StopLatest();
+  void CheckEnded(const RunKey& key);
   void CheckEnd();
   void Violate(const std::string& text);
   void Record(const std::string& text, std::vector<std::string>& list);
--- a/tests/support/scripted_placer.h
+++ b/tests/support/scripted_placer.h
@@ -28,7 +28,7 @@
     }
     return true;
   }
-  void Stop(const jobs::PlacedRun&) override {}
+  void Stop(const jobs::PlacedRun&, std::optional<base::TimePoint>) override {}
   void SetTasksWaiting(bool) override {}
 
   /// Returns the number of placements at the endpoint.
