Runs: the lease of a foreign run is not renewed for others

A process that takes an endpoint over, or wakes, stops the runs there that it does not know. If the stop is lost, such a run may be at work beside a copy of its task (TWICE).

Cause: starts and polls for the own runs of the new holder renewed the lease of the foreign run, too, whose job may have been submitted again long ago.

Change: a foreign run must have ended when it is listed, so no order grants a lease at its endpoint until its stop is confirmed, which is one round trip if no order is lost. Until then the endpoint takes no task.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -705,6 +705,8 @@
   Run& run = this->runs[key];
   run.foreign = true;
   run.started = this->parts.clock.Now();
+  // Its job may have ended long ago.
+  run.end_by = run.started;
   run.start_answered = true;
   run.state = RunState::kStopping;
   run.handlers.on_end = [](RunOutcome) {};
--- a/tests/runs/lease_limit_test.cc
+++ b/tests/runs/lease_limit_test.cc
@@ -215,6 +215,18 @@
   EXPECT_GE(this->LeaseLeft(), milliseconds(700));
 }
 
+// Guards against TWICE: the lease of a run of another process, whose job may
+// have been submitted again long ago, was renewed for other runs.
+TEST_F(LeaseLimitTest, LeaseOfForeignRunIsNotRenewedForOthers) {
+  ASSERT_TRUE(this->Start("own"));
+  this->Run(milliseconds(500));
+  this->running.push_back({"foreign", 1, 0});
+  this->Run(this->settings.poll_wait);
+  ASSERT_FALSE(this->orders.stops.empty());
+  this->Run(this->settings.lease);
+  EXPECT_LE(this->LeaseLeft(), base::Duration{0});
+}
+
 // Guards against tasks that are killed with the leases, and against tasks that
 // are refused though they can be served.
 TEST_F(LeaseLimitTest, TasksStartThatEndBeforeLeasesExpire) {
