Runs: a start without an answer is rechecked though it is stopped

What callers saw: nothing on record. With the limit of leases, other tasks at the endpoint would end for a run that never began.

A stop within that time takes the place of the timer, so the recheck waited for the timeout of the start (1 s).

Change: the second stop order of such a run comes with a recheck.

--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -304,6 +304,8 @@
   if (!run.timer) run.timer = std::make_unique<base::Timer>(this->parts.clock);
   run.timer->StartOnce(kStopRetry, [this, key] { this->SendStop(key); });
   if (!run.stop_requested) run.stop_requested = this->parts.clock.Now();
+  // A start and a stop without an answer: a list shows whether there is a run.
+  if (run.stop_orders > 0 && !run.start_answered) this->Recheck();
   const bool was_lost = run.IsStopLost();
   ++run.stop_orders;
   if (!was_lost && run.IsStopLost()) this->ReportLostStop(key, run);
--- a/tests/runs/lease_limit_test.cc
+++ b/tests/runs/lease_limit_test.cc
@@ -82,6 +82,7 @@
   }
 
   void AnswerStarts() {
+    if (!this->starts_answered) return;
     for (; this->answered_starts < this->orders.starts.size();
          ++this->answered_starts) {
       const auto& start = this->orders.starts[this->answered_starts];
@@ -129,6 +130,7 @@
   std::vector<runs::ActiveRun> running;
   std::vector<std::pair<std::string, RunOutcome>> ends;
   std::optional<base::TimePoint> latest_end;
+  bool starts_answered = true;
   std::int64_t lease_end_ms = 0;
   std::size_t answered_starts = 0;
   std::size_t open_poll = 0;
@@ -227,6 +229,22 @@
   EXPECT_LE(this->LeaseLeft(), base::Duration{0});
 }
 
+// Guards against leases that expire for a run that never began: its start and
+// its stop were lost, and the stop took the place of the recheck.
+TEST_F(LeaseLimitTest, StartWithoutAnswerIsRecheckedThoughItIsStopped) {
+  ASSERT_TRUE(this->Start("other"));
+  this->Run(milliseconds(500));
+  this->starts_answered = false;
+  ASSERT_TRUE(this->Start("lost"));
+  this->running.pop_back();
+  this->Run(milliseconds(20));
+  this->StopIn(kTimeToEnd, "lost");
+  this->Run(kTimeToEnd);
+  EXPECT_EQ(this->ends, (std::vector<std::pair<std::string, RunOutcome>>{
+                            {"lost", RunOutcome::kUnconfirmed}}));
+  EXPECT_GE(this->LeaseLeft(), milliseconds(700));
+}
+
 // Guards against tasks that are killed with the leases, and against tasks that
 // are refused though they can be served.
 TEST_F(LeaseLimitTest, TasksStartThatEndBeforeLeasesExpire) {
