Soak: all stops of some endpoints are lost for seconds

Now up to three endpoints at a time lose all of theirs, for 1 to 6 s. The fault has a random sequence of its own, so recorded seeds keep the order of their other faults.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -45,6 +45,12 @@
 // sent again only if most stops fail.
 constexpr double kMaxStartFaultShare = 0.5;
 constexpr double kMaxStopFaultShare = 0.95;
+// Time between two losses of all stops of some endpoints, and their duration.
+constexpr base::Duration kMinLostStopsInterval = milliseconds(500);
+constexpr base::Duration kMaxLostStopsInterval = milliseconds(3'000);
+constexpr base::Duration kMinLostStops = milliseconds(1'000);
+constexpr base::Duration kMaxLostStops = milliseconds(6'000);
+constexpr std::uint64_t kMaxEndpointsWithLostStops = 3;
 // Wall clocks of processes are ahead or behind by up to this value.
 constexpr int kMaxWallOffsetMs = 5'000;
 
@@ -64,6 +70,8 @@
       cut_timer(environment.clock),
       order_random(environment.options.seed),
       order_timer(environment.clock),
+      lost_stops_random(environment.options.seed),
+      lost_stops_timer(environment.clock),
       process_check_timer(environment.clock) {}
 
 void FaultPlan::Start() {
@@ -74,6 +82,7 @@
   this->ScheduleSeries();
   this->ScheduleCuts();
   this->ScheduleOrderPhase();
+  this->ScheduleLostStops();
 }
 
 void FaultPlan::RecordFault(const std::string& description) {
@@ -357,6 +366,35 @@
   });
 }
 
+void FaultPlan::ScheduleLostStops() {
+  this->lost_stops_timer.StartOnce(
+      this->lost_stops_random.Between(kMinLostStopsInterval,
+                                      kMaxLostStopsInterval),
+      [this] {
+        this->LoseStops();
+        this->ScheduleLostStops();
+      });
+}
+
+void FaultPlan::LoseStops() {
+  const std::uint64_t count =
+      1 + this->lost_stops_random.Below(kMaxEndpointsWithLostStops);
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const std::string& id = this->environment
+                                .endpoints[this->lost_stops_random.Below(
+                                    this->environment.endpoints.size())]
+                                ->id;
+    const base::Duration duration =
+        this->lost_stops_random.Between(kMinLostStops, kMaxLostStops);
+    this->RecordFault(fmt::format("lose all stops of {} for {} ms", id,
+                                  duration / milliseconds(1)));
+    this->environment.leased_endpoints.SetStopsLost(id, true);
+    this->environment.clock.StartTimer(duration, [this, &id] {
+      this->environment.leased_endpoints.SetStopsLost(id, false);
+    });
+  }
+}
+
 void FaultPlan::InjectStoreFault() {
   switch (this->environment.random.Below(4)) {
     case 0:
@@ -393,6 +431,7 @@
   this->series_timer.Stop();
   this->cut_timer.Stop();
   this->order_timer.Stop();
+  this->lost_stops_timer.Stop();
   this->order_faults = {};
   this->environment.store.SetDown("", false);
   this->environment.leased_endpoints.SetFaults({});
@@ -404,6 +443,8 @@
   }
   for (std::size_t i = 0; i < this->environment.endpoints.size(); ++i) {
     this->environment.endpoints[i]->proxy.SetMode(ProxyMode::kPass);
+    this->environment.leased_endpoints.SetStopsLost(
+        this->environment.endpoints[i]->id, false);
     this->environment.WriteEndpointEntry(i, false);
   }
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -55,6 +55,9 @@
   /// Loses or delays a share of the stop orders and loses the answers to a
   /// share of the start orders, for several seconds.
   void BeginOrderPhase();
+  void ScheduleLostStops();
+  /// Loses all stop orders of a few endpoints for several seconds.
+  void LoseStops();
   void InjectStoreFault();
   void CheckProcesses();
   void RecordFault(const std::string& description);
@@ -74,6 +77,8 @@
   base::Timer order_timer;
   /// Faults of orders that are in force.
   testing::LeasedEndpoints::Faults order_faults;
+  testing::Random lost_stops_random;
+  base::Timer lost_stops_timer;
   base::Timer process_check_timer;
   bool active = true;
   /// End of the outages of the store that have begun.
--- a/tests/support/leased_endpoints.cc
+++ b/tests/support/leased_endpoints.cc
@@ -372,7 +372,7 @@
       process_domain, target, process_clock,
       [this, target, task, run, lost, answer](Endpoint& endpoint,
                                               const CallPointer& call) {
-        if (lost) {
+        if (lost || endpoint.stops_lost) {
           this->Log(endpoint, fmt::format("stop_lost task={} run={} token={}",
                                           task, run, target.fence));
           return;
--- a/tests/support/leased_endpoints.h
+++ b/tests/support/leased_endpoints.h
@@ -107,6 +107,11 @@
 
   void SetFaults(const Faults& new_faults) { this->faults = new_faults; }
 
+  /// Sets whether all stop orders for the endpoint get lost.
+  void SetStopsLost(const std::string& id, bool lost) {
+    this->endpoints.at(id).stops_lost = lost;
+  }
+
   /// Sets whether an order that is carried out late, or whose connection has
   /// ended, is also carried out by a later incarnation of its endpoint.
   void SetLateAfterRestart(bool carried_out) {
@@ -235,6 +240,7 @@
     /// Speed of the endpoint's clock.
     double clock_rate = 1;
     bool silent = false;
+    bool stops_lost = false;
     bool down = false;
     CrashKind crash_kind = CrashKind::kSilent;
     std::vector<std::weak_ptr<Call>> calls;
