--- a/tests/runs/lease_expiry_test.cc
+++ b/tests/runs/lease_expiry_test.cc
@@ -29,5 +29,22 @@
   EXPECT_EQ(expiry.TimeLeft(kStart), milliseconds(1'050));
 }
 
+// Guards against TWICE: a lease that lasts beyond the time to which it is
+// limited.
+TEST(LeaseExpiryTest, LongestLeaseHasExpiredInTime) {
+  for (int ms = 0; ms <= 1'300; ++ms) {
+    const base::Duration lease = LeaseExpiry::LongestLease(milliseconds(ms));
+    EXPECT_GE(lease, milliseconds(0));
+    if (lease == milliseconds(0)) continue;
+    LeaseExpiry expiry(kStart);
+    expiry.Extend(kStart, lease);
+    EXPECT_LE(expiry.TimeLeft(kStart), milliseconds(ms));
+    EXPECT_GT(expiry.TimeLeft(kStart), milliseconds(ms - 1));
+  }
+  EXPECT_EQ(LeaseExpiry::LongestLease(milliseconds(1'050)), seconds(1));
+  EXPECT_EQ(LeaseExpiry::LongestLease(milliseconds(30)), milliseconds(0));
+  EXPECT_EQ(LeaseExpiry::LongestLease(milliseconds(-500)), milliseconds(0));
+}
+
 }  // namespace
 }  // namespace hawthornwheel::testing
