Tests: a run of a killed coordinator, known red

What callers may see: a task at work twice, if its coordinator is killed, the holder of its endpoint gets no answer to any stop, and the job comes back in a domain that is cut off. The test does that and fails: run 1 at north-e0 and run 1 at south-e0.

Cause: the holder limits the lease by the time at which a process that runs on would count the run as ended, up to 1.9 s after its latest confirmed heartbeat. The callers of a killed process come back 1.3 s after its end.

The fixture keeps the name of the holder, since it may be killed.

--- a/tests/jobs/unconfirmed_stop_test.cc
+++ b/tests/jobs/unconfirmed_stop_test.cc
@@ -44,13 +44,13 @@
       }
     }
     this->fleet.Run(seconds(2));
+    this->north0_holds =
+        this->fleet.Process("north0").pool.Sessions().contains(kNorthEndpoint);
   }
 
   // Returns the process of north that holds its endpoint, or the other one.
-  std::string NorthProcess(bool holder) {
-    const bool north0_holds =
-        this->fleet.Process("north0").pool.Sessions().contains(kNorthEndpoint);
-    return north0_holds == holder ? "north0" : "north1";
+  std::string NorthProcess(bool holder) const {
+    return this->north0_holds == holder ? "north0" : "north1";
   }
 
   void CutDomainsOff() {
@@ -107,6 +107,7 @@
   }
 
   HostedFleet fleet;
+  bool north0_holds = false;
   jobs::JobRequest job;
   std::vector<std::shared_ptr<std::optional<jobs::JobAnswer>>> short_jobs;
 };
@@ -174,6 +175,19 @@
   this->ExpectNoViolation();
 }
 
+// Guards against TWICE: the holder of an endpoint renewed the lease of a run
+// whose coordinator had been killed.
+TEST_F(UnconfirmedStopTest, RunOfKilledCoordinatorHasEnded) {
+  const std::string coordinator = this->NorthProcess(false);
+  this->Begin(coordinator);
+  this->CutDomainsOff();
+  this->LoseStops();
+  this->fleet.Kill(coordinator);
+  this->RunWithShortJobs(kResendTime);
+  this->SubmitAgain();
+  this->ExpectNoViolation();
+}
+
 // The load while a stop is not confirmed: tasks that end before the leases do
 // are started, and none of them is lost with the leases.
 TEST_F(UnconfirmedStopTest, ShortTasksAreServedUntilLeasesExpire) {
