--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -29,8 +29,8 @@
     /// Returns whether the caller is known to wait still; null for a caller
     /// whose connection ends at this process.
     std::function<bool()> is_waiting;
-    /// Returns the time before which the process that waits has not answered
-    /// the caller if it is not heard from again; null if `is_waiting` is.
+    /// Returns the earliest time at which the process that waits may have
+    /// answered the caller, as far as it was heard; null if `is_waiting` is.
     std::function<base::TimePoint()> earliest_answer;
   };
 
--- a/src/libs/jobs/job_coordinator.cc
+++ b/src/libs/jobs/job_coordinator.cc
@@ -636,8 +636,8 @@
   this->Finish(id, end, cause, this->clock.Now());
 }
 
-// Ends a job whose caller left or was answered at `ended_at`, or is answered
-// now.
+// Ends a job and answers the callers that still wait. `ended_at` is the time
+// after which a copy of the job may come.
 void JobCoordinator::Finish(const std::string& id, JobEnd end,
                             const char* cause, base::TimePoint ended_at) {
   const auto found = this->jobs.find(id);
--- a/src/libs/runs/endpoint_run.h
+++ b/src/libs/runs/endpoint_run.h
@@ -61,8 +61,8 @@
   /// ends the run without that.
   std::optional<base::TimePoint> LeaseLimit() const;
 
-  /// Returns whether stop orders were lost, and as many that the next ones are
-  /// likely to be lost, too.
+  /// Returns whether so many stop orders have no answer that the next ones will
+  /// probably have none either.
   bool IsStopLost() const;
 
   /// Returns the time at which the run is expected to end at an endpoint of
--- a/src/libs/runs/endpoint_session.cc
+++ b/src/libs/runs/endpoint_session.cc
@@ -154,8 +154,8 @@
                   LeaseExpiry::LongestLease(*limit - this->parts.clock.Now()));
 }
 
-// Returns whether a task can be started although the leases may expire soon. If
-// that is likely, the task has to end before.
+// Returns whether a lease can be granted for a task. While the leases will
+// probably not be renewed, the task has to end before they expire.
 bool EndpointSession::HasTimeFor(const TaskOrder& order) const {
   const base::Duration lease = this->GrantableLease();
   if (lease >= this->parts.settings.lease) return true;
--- a/src/libs/runs/remote_runs.cc
+++ b/src/libs/runs/remote_runs.cc
@@ -344,7 +344,7 @@
 void RemoteRuns::ReceiveStop(const wire::Envelope& envelope) {
   auto end_by = this->cluster.TimeOfSteadyMs(
       envelope.stop_placements().end_by_steady_ms());
-  // The sender counts a pause of this process as time of its clock.
+  // The sender's estimate is too late after a pause that stopped this clock.
   if (end_by) end_by = std::min(*end_by, this->clock.Now() + kRunEndLimit);
   for (const std::uint64_t placement :
        envelope.stop_placements().placements()) {
